--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Entry points for people and CI. Each target installs what is missing.
+.PHONY: all setup build test lint format run bench sanitize soak proto clean
+
+all: build
+
+setup:
+	@bash scripts/setup.sh
+
+build: setup
+	@bash scripts/build.sh release
+
+lint: build
+	@bash scripts/lint.sh
+
+test: build lint
+	@bash scripts/test.sh release
+
+format:
+	@git ls-files --cached --others --exclude-standard '*.cc' '*.h' | grep -v '\.pb\.' | xargs clang-format-14 -i
+
+run: build
+	@bash scripts/run.sh
+
+# ONLY=name runs one benchmark.
+bench: build
+	@build/release/comfreystand bench --output build/bench $(if $(ONLY),--only $(ONLY))
+
+sanitize: setup
+	@bash scripts/build.sh sanitize
+	@bash scripts/test.sh sanitize
+
+# Regenerates the committed protobuf and gRPC code.
+proto: setup
+	@bash scripts/proto.sh
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/tests/base_test.cc
@@ -0,0 +1,44 @@
+#include <doctest/doctest.h>
+
+#include "comfreystand/base.h"
+
+namespace comfreystand {
+namespace {
+
+TEST_CASE("a run verdict") {
+  SUBCASE("is printed and parsed back") {
+    for (RunVerdict verdict :
+         {RunVerdict::kNotRun, RunVerdict::kMayHaveRun, RunVerdict::kRan}) {
+      RunVerdict parsed = RunVerdict::kNotRun;
+      CHECK(ParseRunVerdict(ToString(verdict), &parsed));
+      CHECK(parsed == verdict);
+    }
+  }
+  SUBCASE("is refused when it is no verdict's name") {
+    RunVerdict parsed = RunVerdict::kNotRun;
+    CHECK_FALSE(ParseRunVerdict("maybe", &parsed));
+  }
+}
+
+TEST_CASE("a handle") {
+  SUBCASE("is invalid by default") {
+    CHECK_FALSE(NodeId().IsValid());
+  }
+  SUBCASE("is valid once it has a value") {
+    CHECK(NodeId(0).IsValid());
+  }
+}
+
+TEST_CASE("stable hashes") {
+  SUBCASE("do not change between builds") {
+    CHECK(StableHash("comfreystand") == StableHash("comfreystand"));
+    CHECK(StableHash("a") != StableHash("b"));
+  }
+  SUBCASE("map into the unit interval") {
+    CHECK(HashToUnit(0) == 0.0);
+    CHECK(HashToUnit(~uint64_t{0}) < 1.0);
+  }
+}
+
+}  // namespace
+}  // namespace comfreystand
