--- /dev/null
+++ b/bench/all.cc
@@ -0,0 +1,7 @@
+#include "bench/all.h"
+
+namespace comfreystand::bench {
+
+void RegisterAll() {}
+
+}  // namespace comfreystand::bench
--- /dev/null
+++ b/include/comfreystand/event_loop.h
@@ -0,0 +1,45 @@
+#ifndef COMFREYSTAND_EVENT_LOOP_H_
+#define COMFREYSTAND_EVENT_LOOP_H_
+
+#include <functional>
+#include <memory>
+
+#include "comfreystand/loop.h"
+
+struct event_base;
+
+namespace comfreystand {
+
+// The loop of a process: libevent timers on the system's steady clock. Only
+// RunInLoop() and Stop() may be called from other threads.
+class EventLoop final : public Loop {
+ public:
+  EventLoop();
+  ~EventLoop() override;
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  TimePoint Now() const override;
+  void PostDelayed(Duration delay, std::function<void()> task) override;
+
+  // Runs `task` on the loop soon; wakes the loop when it sleeps.
+  void RunInLoop(std::function<void()> task);
+
+  // Calls `handler` on the loop when the process receives signal `number`.
+  void OnSignal(int number, std::function<void()> handler);
+
+  // Runs until Stop().
+  void Run();
+  void Stop();
+
+  // For libraries that register their own events.
+  event_base* base() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace comfreystand
+
+#endif  // COMFREYSTAND_EVENT_LOOP_H_
--- /dev/null
+++ b/include/comfreystand/http_client.h
@@ -0,0 +1,71 @@
+#ifndef COMFREYSTAND_HTTP_CLIENT_H_
+#define COMFREYSTAND_HTTP_CLIENT_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "comfreystand/base.h"
+
+struct event_base;
+
+// A small HTTP client over evhttp for control traffic: the platform's
+// services and the administration verbs.
+namespace comfreystand::http {
+
+enum class Method : uint8_t { kGet, kPut, kPost, kDelete };
+
+enum class Outcome : uint8_t {
+  // An answer arrived; its status may still be an error.
+  kAnswered,
+  // No connection; nothing was sent.
+  kNotSent,
+  // Sent, but the answer was lost, cut short or too late.
+  kNoAnswer,
+};
+
+struct Request {
+  Method method = Method::kGet;
+  // Path and query.
+  std::string target;
+  std::map<std::string, std::string> headers;
+  std::string body;
+  Duration timeout = std::chrono::seconds(2);
+};
+
+struct Response {
+  Outcome outcome = Outcome::kNotSent;
+  int status = 0;
+  std::map<std::string, std::string, std::less<>> headers;
+  std::string body;
+};
+
+using ResponseCallback = std::function<void(const Response& response)>;
+
+// Splits "a.b.c.d:port" or "[v6]:port". Returns false when `text` is neither.
+bool ParseAddress(std::string_view text, std::string* host, uint16_t* port);
+
+// Percent-encodes everything but unreserved characters and '/'.
+std::string EncodePath(std::string_view path);
+
+// Calls to one server. Reuses idle connections; opens more when all are busy.
+class Client {
+ public:
+  // `address` is "a.b.c.d:port".
+  Client(event_base* base, std::string address);
+  ~Client();
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  void Call(Request request, ResponseCallback done);
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace comfreystand::http
+
+#endif  // COMFREYSTAND_HTTP_CLIENT_H_
--- a/include/comfreystand/limits.h
+++ b/include/comfreystand/limits.h
@@ -17,17 +17,18 @@
 
 // Edge.
 constexpr size_t kMaxRequestHeaderBytes = 16'384;
-constexpr size_t kMaxRequestBodyBytes = 8 * 1024 * 1024;
-constexpr size_t kMaxAnswerBodyBytes = 64 * 1024 * 1024;
+constexpr size_t kMaxRequestBodyBytes = size_t{8} << 20;
+constexpr size_t kMaxAnswerBodyBytes = size_t{64} << 20;
 
 // Platform.
-constexpr size_t kMaxStoreValueBytes = 1024 * 1024;
+constexpr size_t kMaxStoreValueBytes = size_t{1} << 20;
 constexpr std::chrono::milliseconds kStoreCallTimeout = 2'000ms;
 constexpr std::chrono::milliseconds kStoreWatchTimeout = 30'000ms;
 
 // Peer.
-constexpr size_t kMaxPeerMessageBytes = 2 * 1024 * 1024;
+constexpr size_t kMaxPeerMessageBytes = size_t{2} << 20;
 constexpr std::chrono::milliseconds kPeerCallTimeout = 1'000ms;
+constexpr std::chrono::milliseconds kPeerReconnectBackoff = 2'000ms;
 
 }  // namespace comfreystand::limits
 
--- /dev/null
+++ b/src/http/http_client.cc
@@ -0,0 +1,212 @@
+#include "comfreystand/http_client.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <array>
+#include <charconv>
+#include <utility>
+#include <vector>
+
+#include "comfreystand/limits.h"
+
+namespace comfreystand::http {
+namespace {
+
+constexpr std::array<evhttp_cmd_type, 4> kCommands = {
+    EVHTTP_REQ_GET, EVHTTP_REQ_PUT, EVHTTP_REQ_POST, EVHTTP_REQ_DELETE};
+
+timeval ToTimeval(Duration duration) {
+  timeval result{};
+  result.tv_sec = duration.count() / 1'000'000;
+  result.tv_usec = duration.count() % 1'000'000;
+  return result;
+}
+
+std::string TakeBody(evhttp_request* request) {
+  evbuffer* input = evhttp_request_get_input_buffer(request);
+  const size_t size = evbuffer_get_length(input);
+  std::string body(size, '\0');
+  evbuffer_remove(input, body.data(), size);
+  return body;
+}
+
+}  // namespace
+
+bool ParseAddress(std::string_view text, std::string* host, uint16_t* port) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos || colon == 0)
+    return false;
+  const std::string_view digits = text.substr(colon + 1);
+  const auto [end, error] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), *port);
+  if (error != std::errc() || end != digits.data() + digits.size())
+    return false;
+  std::string_view name = text.substr(0, colon);
+  if (name.size() > 2 && name.front() == '[' && name.back() == ']')
+    name = name.substr(1, name.size() - 2);
+  *host = std::string(name);
+  return true;
+}
+
+std::string EncodePath(std::string_view path) {
+  char* encoded =
+      evhttp_uriencode(path.data(), static_cast<ev_ssize_t>(path.size()), 0);
+  std::string result(encoded);
+  free(encoded);
+  for (size_t at = result.find("%2F"); at != std::string::npos;
+       at = result.find("%2F", at))
+    result.replace(at, 3, "/");
+  return result;
+}
+
+class Client::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(event_base* base, const std::string& address) : base_(base) {
+    valid_ = ParseAddress(address, &host_, &port_);
+  }
+
+  ~Impl() { Close(); }
+
+  void Call(Request request, ResponseCallback done) {
+    if (!valid_) {
+      FailSoon(std::move(done));
+      return;
+    }
+    auto* call = new PendingCall{weak_from_this(), TakeConnection(),
+                                 std::move(done), Outcome::kNotSent};
+    evhttp_request* raw = evhttp_request_new(&Impl::OnDone, call);
+    evhttp_request_set_error_cb(raw, &Impl::OnError);
+    FillHeaders(request, raw);
+    const timeval timeout = ToTimeval(request.timeout);
+    evhttp_connection_set_timeout_tv(call->connection, &timeout);
+    const auto command = kCommands[static_cast<size_t>(request.method)];
+    if (evhttp_make_request(call->connection, raw, command,
+                            request.target.c_str()) != 0) {
+      evhttp_connection_free(call->connection);
+      FailSoon(std::move(call->done));
+      delete call;
+    }
+  }
+
+  void Close() {
+    for (evhttp_connection* connection : idle_)
+      evhttp_connection_free(connection);
+    idle_.clear();
+    closed_ = true;
+  }
+
+ private:
+  struct PendingCall {
+    std::weak_ptr<Impl> owner;
+    evhttp_connection* connection;
+    ResponseCallback done;
+    // Outcome when no answer arrives.
+    Outcome failure;
+  };
+
+  struct Finish {
+    evhttp_connection* connection;
+    std::weak_ptr<Impl> owner;
+    bool reusable;
+  };
+
+  evhttp_connection* TakeConnection() {
+    if (!idle_.empty()) {
+      evhttp_connection* connection = idle_.back();
+      idle_.pop_back();
+      return connection;
+    }
+    evhttp_connection* connection =
+        evhttp_connection_base_new(base_, nullptr, host_.c_str(), port_);
+    evhttp_connection_set_max_body_size(
+        connection, static_cast<ev_ssize_t>(limits::kMaxStoreValueBytes * 2));
+    return connection;
+  }
+
+  void FillHeaders(const Request& request, evhttp_request* raw) const {
+    evkeyvalq* headers = evhttp_request_get_output_headers(raw);
+    evhttp_add_header(headers, "Host", host_.c_str());
+    for (const auto& [name, value] : request.headers)
+      evhttp_add_header(headers, name.c_str(), value.c_str());
+    if (!request.body.empty()) {
+      evbuffer_add(evhttp_request_get_output_buffer(raw), request.body.data(),
+                   request.body.size());
+    }
+  }
+
+  void FailSoon(ResponseCallback done) {
+    auto* holder = new ResponseCallback(std::move(done));
+    const timeval now{};
+    event_base_once(
+        base_, -1, EV_TIMEOUT,
+        [](evutil_socket_t, short, void* arg) {
+          const std::unique_ptr<ResponseCallback> callback(
+              static_cast<ResponseCallback*>(arg));
+          (*callback)(Response{});
+        },
+        holder, &now);
+  }
+
+  // libevent calls this only for failures after the connection was made.
+  static void OnError(evhttp_request_error, void* arg) {
+    static_cast<PendingCall*>(arg)->failure = Outcome::kNoAnswer;
+  }
+
+  static void OnDone(evhttp_request* raw, void* arg) {
+    const std::unique_ptr<PendingCall> call(static_cast<PendingCall*>(arg));
+    Response response;
+    response.outcome = call->failure;
+    const int status = raw ? evhttp_request_get_response_code(raw) : 0;
+    if (status != 0) {
+      response.outcome = Outcome::kAnswered;
+      response.status = status;
+      const evkeyvalq* headers = evhttp_request_get_input_headers(raw);
+      for (evkeyval* at = headers->tqh_first; at; at = at->next.tqe_next)
+        response.headers.emplace(at->key, at->value);
+      response.body = TakeBody(raw);
+    }
+    // The connection may not be freed or reused from inside its callback.
+    Release(call->connection, call->owner, status != 0);
+    call->done(response);
+  }
+
+  static void Release(evhttp_connection* connection,
+                      const std::weak_ptr<Impl>& owner,
+                      bool reusable) {
+    const timeval now{};
+    event_base_once(
+        evhttp_connection_get_base(connection), -1, EV_TIMEOUT,
+        [](evutil_socket_t, short, void* arg) {
+          const std::unique_ptr<Finish> finish(static_cast<Finish*>(arg));
+          const auto impl = finish->owner.lock();
+          if (impl && !impl->closed_ && finish->reusable)
+            impl->idle_.push_back(finish->connection);
+          else
+            evhttp_connection_free(finish->connection);
+        },
+        new Finish{connection, owner, reusable}, &now);
+  }
+
+  event_base* base_;
+  std::string host_;
+  uint16_t port_ = 0;
+  bool valid_ = false;
+  bool closed_ = false;
+  std::vector<evhttp_connection*> idle_;
+};
+
+Client::Client(event_base* base, std::string address)
+    : impl_(std::make_shared<Impl>(base, address)) {}
+
+Client::~Client() {
+  impl_->Close();
+}
+
+void Client::Call(Request request, ResponseCallback done) {
+  impl_->Call(std::move(request), std::move(done));
+}
+
+}  // namespace comfreystand::http
--- /dev/null
+++ b/src/loop/event_loop.cc
@@ -0,0 +1,130 @@
+#include "comfreystand/event_loop.h"
+
+#include <event2/event.h>
+#include <event2/thread.h>
+
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace comfreystand {
+namespace {
+
+timeval ToTimeval(Duration delay) {
+  const int64_t micros = delay.count() < 0 ? 0 : delay.count();
+  timeval result{};
+  result.tv_sec = micros / 1'000'000;
+  result.tv_usec = micros % 1'000'000;
+  return result;
+}
+
+struct DelayedTask {
+  std::function<void()> run;
+};
+
+void RunDelayedTask(evutil_socket_t, short, void* arg) {
+  const std::unique_ptr<DelayedTask> task(static_cast<DelayedTask*>(arg));
+  task->run();
+}
+
+struct SignalHandler {
+  event* source = nullptr;
+  std::function<void()> run;
+};
+
+void RunSignalHandler(evutil_socket_t, short, void* arg) {
+  static_cast<SignalHandler*>(arg)->run();
+}
+
+}  // namespace
+
+class EventLoop::Impl {
+ public:
+  Impl() {
+    evthread_use_pthreads();
+    base_ = event_base_new();
+    wakeup_ = event_new(base_, -1, EV_PERSIST, &Impl::OnWakeup, this);
+  }
+
+  ~Impl() {
+    for (const auto& handler : signals_)
+      event_free(handler->source);
+    event_free(wakeup_);
+    event_base_free(base_);
+  }
+
+  void RunInLoop(std::function<void()> task) {
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      handed_over_.push_back(std::move(task));
+    }
+    event_active(wakeup_, EV_READ, 0);
+  }
+
+  void OnSignal(int number, std::function<void()> handler) {
+    auto entry = std::make_unique<SignalHandler>();
+    entry->run = std::move(handler);
+    entry->source = evsignal_new(base_, number, &RunSignalHandler, entry.get());
+    event_add(entry->source, nullptr);
+    signals_.push_back(std::move(entry));
+  }
+
+  event_base* base() const { return base_; }
+
+ private:
+  static void OnWakeup(evutil_socket_t, short, void* arg) {
+    static_cast<Impl*>(arg)->RunHandedOver();
+  }
+
+  void RunHandedOver() {
+    std::vector<std::function<void()>> tasks;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      tasks.swap(handed_over_);
+    }
+    for (const auto& task : tasks)
+      task();
+  }
+
+  event_base* base_ = nullptr;
+  event* wakeup_ = nullptr;
+  std::vector<std::unique_ptr<SignalHandler>> signals_;
+  std::mutex mutex_;
+  std::vector<std::function<void()>> handed_over_;
+};
+
+EventLoop::EventLoop() : impl_(std::make_unique<Impl>()) {}
+EventLoop::~EventLoop() = default;
+
+TimePoint EventLoop::Now() const {
+  return SystemClock().Now();
+}
+
+void EventLoop::PostDelayed(Duration delay, std::function<void()> task) {
+  const timeval when = ToTimeval(delay);
+  auto* holder = new DelayedTask{std::move(task)};
+  event_base_once(impl_->base(), -1, EV_TIMEOUT, &RunDelayedTask, holder,
+                  &when);
+}
+
+void EventLoop::RunInLoop(std::function<void()> task) {
+  impl_->RunInLoop(std::move(task));
+}
+
+void EventLoop::OnSignal(int number, std::function<void()> handler) {
+  impl_->OnSignal(number, std::move(handler));
+}
+
+void EventLoop::Run() {
+  event_base_loop(impl_->base(), EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void EventLoop::Stop() {
+  RunInLoop([this] { event_base_loopbreak(impl_->base()); });
+}
+
+event_base* EventLoop::base() const {
+  return impl_->base();
+}
+
+}  // namespace comfreystand
