--- a/include/comfreystand/rules.h
+++ b/include/comfreystand/rules.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "comfreystand/base.h"
+#include "comfreystand/limits.h"
 
 // The operators' rule file: its data model, parser, difference and document
 // form in the store. Handles index the vectors of the RuleSet that they come
@@ -40,6 +41,10 @@
   int connections_per_backend = 0;
   // Time that one probe costs a backend server.
   Duration probe_cost{0};
+  // Time that one new connection costs a backend server.
+  Duration connect_cost{0};
+  // Class of requests that name none; invalid when the rule gives none.
+  ClassId default_class;
 };
 
 // How many backend servers of a service a failure domain has.
@@ -66,9 +71,9 @@
 
 // Bound on the share of all traffic that one change may move.
 struct CapRule {
-  Fraction max_shift;
+  Fraction max_shift{limits::kDefaultCapShare};
   // Time over which a change moves from nothing to its full extent.
-  Duration ramp{0};
+  Duration ramp = limits::kDefaultCapRamp;
 };
 
 // Bytes a second that both directions of an inter-region link carry each.
--- /dev/null
+++ b/src/rules/lines.cc
@@ -0,0 +1,133 @@
+#include "src/rules/lines.h"
+
+#include <string>
+
+#include "comfreystand/limits.h"
+
+namespace comfreystand::rules {
+namespace {
+
+constexpr std::string_view kAskedBy = "asked by ";
+constexpr std::string_view kAskedByForm = "a comment \"# asked by NAME: why\"";
+
+bool IsBlank(char c) {
+  return c == ' ' || c == '\t';
+}
+
+bool IsControl(char c) {
+  const auto byte = static_cast<unsigned char>(c);
+  return (byte < 0x20 && c != '\t') || byte == 0x7f;
+}
+
+std::string_view Trim(std::string_view text) {
+  while (!text.empty() && IsBlank(text.front())) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && IsBlank(text.back())) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
+int ColumnOf(size_t offset) {
+  return static_cast<int>(offset) + 1;
+}
+
+bool CheckBytes(std::string_view text,
+                int number,
+                std::vector<RuleError>* errors) {
+  if (text.size() > limits::kMaxRuleLineBytes) {
+    errors->push_back(
+        {number, ColumnOf(limits::kMaxRuleLineBytes), "the line is too long",
+         "at most " + std::to_string(limits::kMaxRuleLineBytes) + " bytes",
+         ""});
+    return false;
+  }
+  for (size_t i = 0; i < text.size(); ++i) {
+    if (IsControl(text[i])) {
+      errors->push_back({number, ColumnOf(i), "control character in the line",
+                         "printable text", ""});
+      return false;
+    }
+  }
+  return true;
+}
+
+void ReadWords(std::string_view text, Line* line) {
+  size_t i = 0;
+  while (i < text.size()) {
+    if (IsBlank(text[i])) {
+      ++i;
+      continue;
+    }
+    size_t end = i;
+    while (end < text.size() && !IsBlank(text[end])) {
+      ++end;
+    }
+    line->words.push_back({text.substr(i, end - i), ColumnOf(i)});
+    line->end_column = ColumnOf(end);
+    i = end;
+  }
+}
+
+}  // namespace
+
+std::vector<std::string_view> SplitLines(std::string_view text) {
+  std::vector<std::string_view> lines;
+  while (!text.empty()) {
+    const size_t end = text.find('\n');
+    std::string_view line = text.substr(0, end);
+    text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+    if (!line.empty() && line.back() == '\r') {
+      line.remove_suffix(1);
+    }
+    lines.push_back(line);
+  }
+  return lines;
+}
+
+Line ReadLine(std::string_view text,
+              int number,
+              std::vector<RuleError>* errors) {
+  Line line;
+  line.number = number;
+  if (!CheckBytes(text, number, errors)) {
+    return line;
+  }
+  const size_t hash = text.find('#');
+  if (hash != std::string_view::npos) {
+    line.has_comment = true;
+    line.comment = {text.substr(hash + 1), ColumnOf(hash)};
+    text = text.substr(0, hash);
+  }
+  ReadWords(text, &line);
+  return line;
+}
+
+void CheckAskedBy(const Line& line, std::vector<RuleError>* errors) {
+  if (!line.has_comment) {
+    errors->push_back({line.number, line.end_column,
+                       "the rule does not say who asked for it",
+                       std::string(kAskedByForm), ""});
+    return;
+  }
+  const std::string_view comment = Trim(line.comment.text);
+  if (!comment.starts_with(kAskedBy)) {
+    errors->push_back({line.number, line.comment.column,
+                       "the comment does not say who asked for the rule",
+                       std::string(kAskedByForm), ""});
+    return;
+  }
+  const std::string_view rest = comment.substr(kAskedBy.size());
+  const size_t colon = rest.find(':');
+  const bool complete = colon != std::string_view::npos &&
+                        !Trim(rest.substr(0, colon)).empty() &&
+                        !Trim(rest.substr(colon + 1)).empty();
+  if (!complete) {
+    errors->push_back({line.number, line.comment.column,
+                       "the comment lacks a name or a reason",
+                       std::string(kAskedByForm), ""});
+  }
+}
+
+}  // namespace comfreystand::rules
