--- a/include/comfreystand/limits.h
+++ b/include/comfreystand/limits.h
@@ -11,9 +11,19 @@
 using namespace std::chrono_literals;
 
 // Rules.
-constexpr size_t kMaxRuleFileBytes = 900'000;
+// Two files and the difference between them fit into one store value.
+constexpr size_t kMaxRuleFileBytes = 240'000;
 constexpr size_t kMaxRuleLineBytes = 4'096;
 constexpr size_t kMaxNameBytes = 64;
+constexpr size_t kMaxRuleRegions = 64;
+constexpr size_t kMaxRuleDomains = 1'024;
+constexpr size_t kMaxRuleSites = 4'096;
+constexpr size_t kMaxRuleServices = 1'024;
+constexpr size_t kMaxRuleClasses = 32;
+constexpr int kMaxEntryVmsPerDomain = 10'000;
+// Share of all traffic and time of one change when the rule file has no cap.
+constexpr double kDefaultCapShare = 0.10;
+constexpr std::chrono::seconds kDefaultCapRamp = 60s;
 
 // Edge.
 constexpr size_t kMaxRequestHeaderBytes = 16'384;
