Dispatcher: admission, choice of backend server, attempts and verdicts

Cause: the relay needs one place that decides where a request is tried, tried again, hedged, cancelled or refused. Ruled out: a queue at the backend server, because long work there blocks short work; probing before each choice, because a probe costs 6 ms of a slot.

--- a/include/comfreystand/base.h
+++ b/include/comfreystand/base.h
@@ -21,7 +21,8 @@
   constexpr explicit Handle(Rep value) : value(value) {}
 
   constexpr bool IsValid() const { return value != kInvalid; }
-  constexpr auto operator<=>(const Handle&) const = default;
+  constexpr auto operator<=>(const Handle&) const =
+      default;  // NOLINT(modernize-use-nullptr)
 
   Rep value = kInvalid;
 };
@@ -84,7 +85,8 @@
 
 // One life of a node process. Later lives of the same node compare greater.
 struct Incarnation {
-  constexpr auto operator<=>(const Incarnation&) const = default;
+  constexpr auto operator<=>(const Incarnation&) const =
+      default;  // NOLINT(modernize-use-nullptr)
   uint64_t value = 0;
 };
 
--- a/include/comfreystand/steer/dispatch.h
+++ b/include/comfreystand/steer/dispatch.h
@@ -2,8 +2,10 @@
 #define COMFREYSTAND_STEER_DISPATCH_H_
 
 #include <cstdint>
+#include <memory>
 
 #include "comfreystand/base.h"
+#include "comfreystand/rules.h"
 
 // Decides for every relayed request when and where it is tried, tried again,
 // hedged, cancelled or refused, and which verdict its caller gets. The driver
@@ -11,12 +13,15 @@
 namespace comfreystand::steer {
 
 struct RequestTraits {
-  ServiceId service;
-  CallerId caller;
-  ClassId request_class;
+  ServiceId service{};
+  CallerId caller{};
+  ClassId request_class{};
+  // Hash of what the request asks for, without its parameters; durations are
+  // learned by it. Zero when unknown.
+  uint64_t path_hash = 0;
   bool idempotent = false;
-  TimePoint arrival;
-  TimePoint deadline;
+  TimePoint arrival{};
+  TimePoint deadline{};
 };
 
 // Why a request ended without an answer from a backend server.
@@ -46,10 +51,10 @@
 
 struct Action {
   ActionType type = ActionType::kReject;
-  RequestHandle request;
-  AttemptHandle attempt;
-  BackendId backend;
-  TimePoint deadline;
+  RequestHandle request{};
+  AttemptHandle attempt{};
+  BackendId backend{};
+  TimePoint deadline{};
   RunVerdict verdict = RunVerdict::kNotRun;
   RejectReason reason = RejectReason::kNone;
   // Time after which the caller may try again; zero when waiting won't help.
@@ -88,15 +93,144 @@
 
 // Load report of a backend server as it arrived, with its age.
 struct LoadReport {
-  BackendId backend;
-  Slots busy;
+  BackendId backend{};
+  Slots busy{};
   Duration age{0};
 };
 
+enum class BackendState : uint8_t {
+  kLive,
+  // Finishes its work and receives no more.
+  kLeaving,
+  // Left; its handle may be reused for a later incarnation.
+  kGone,
+};
+
+// What the driver knows of a backend server.
+struct BackendUpdate {
+  BackendId backend{};
+  ServiceId service{};
+  DomainId domain{};
+  Slots slots{1};
+  BackendState state = BackendState::kLive;
+  // An update of an incarnation that is known to leave never makes it live
+  // again; a later incarnation does.
+  Incarnation incarnation{};
+};
+
+// Parameters of the decisions; docs/TUNING.md says what each one trades.
+struct DispatchTuning {
+  // Round trips that choices among failure domains count with.
+  Duration same_region_rtt{3'000};
+  Duration other_region_rtt{30'000};
+  // Share of a request's remaining time that it may spend queued.
+  double max_queue_share = 0.5;
+  // Requests in all queues of the node.
+  uint32_t max_queued = 4'096;
+  // Resends and hedges that each submitted request adds to their budgets.
+  double retry_ratio = 0.1;
+  double hedge_ratio = 0.05;
+  // Unused resends and hedges that the budgets keep.
+  double retry_burst = 20;
+  double hedge_burst = 20;
+  // Tries of one request, hedges included.
+  uint8_t max_attempts = 3;
+  // Latency, in multiples of the expected one, after which an idempotent
+  // request is hedged at the earliest.
+  double min_hedge_factor = 2;
+  double hedge_quantile = 0.95;
+  // Time before the deadline at which running attempts are cancelled, so that
+  // the verdict can tell whether they had started.
+  Duration cancel_lead{20'000};
+  // Slowness, in multiples of the siblings' median, above which a backend
+  // server is eased out and below which it is eased back.
+  double straggler_factor = 2.5;
+  double recovered_factor = 1.6;
+  // Largest share of a service's backend servers that is eased out at once.
+  double max_ejected_share = 0.34;
+  // Time between trial requests to an ejected backend server.
+  Duration trial_interval{500'000};
+  // Share of a backend server's slot time that all probes may take.
+  double probe_share = 0.005;
+  // Requests that a cold backend server answers before it counts as warm.
+  uint32_t warm_after = 30;
+  // Duration, in multiples of the service's short work, from which undeclared
+  // work counts as long.
+  double long_factor = 8;
+  // Share of slots for learned long work where no class sets one.
+  double learned_long_share = 0.34;
+};
+
+// What a dispatcher is created with. The rules may be empty at first.
+struct DispatcherInit {
+  NodeId node{0};
+  DomainId domain{0};
+  // Share of connections_per_backend that all nodes may use together.
+  double connection_share = 0.9;
+  // Slots of other failure domains that the node may use where SetSlotLimit()
+  // has not been called.
+  Slots default_remote_limit{0};
+  uint64_t seed = 1;
+  RuleSet rules;
+  DispatchTuning tuning;
+};
+
+// Counters and gauges of what a dispatcher does.
+struct DispatcherStats {
+  uint64_t submitted = 0;
+  uint64_t delivered = 0;
+  uint64_t rejected_not_run = 0;
+  uint64_t rejected_may_have_run = 0;
+  uint64_t attempts = 0;
+  uint64_t resends = 0;
+  uint64_t resends_denied = 0;
+  uint64_t hedges = 0;
+  uint64_t hedges_denied = 0;
+  uint64_t cancelled_attempts = 0;
+  uint64_t shed = 0;
+  uint64_t reclassified_long = 0;
+  uint64_t stale_reports = 0;
+  uint64_t silent_connections = 0;
+  uint64_t silent_backends = 0;
+  uint64_t ejections = 0;
+  uint64_t probes = 0;
+  uint32_t queued = 0;
+  uint32_t in_flight = 0;
+  uint32_t ejected_backends = 0;
+};
+
+// State of one backend server as the dispatcher sees it.
+struct BackendStatus {
+  BackendState state = BackendState::kGone;
+  uint32_t in_flight = 0;
+  uint32_t long_in_flight = 0;
+  // Latency over the expected one; 1 is normal.
+  double slowness = 1;
+  // Share of its slots that the node offers it, from 0 to 1.
+  double weight = 1;
+};
+
 class Dispatcher {
  public:
   virtual ~Dispatcher() = default;
 
+  // Replaces the rules. Handles keep their meaning; new ones may be added.
+  virtual void SetRules(TimePoint now, const RuleSet& rules) = 0;
+
+  // Adds, changes, drains or removes a backend server.
+  virtual void UpdateBackend(TimePoint now, const BackendUpdate& update) = 0;
+
+  // Place of this node among the `count` live nodes of its failure domain.
+  virtual void SetPeersInDomain(uint32_t rank, uint32_t count) = 0;
+
+  // Slots of a service in a failure domain that this node may use at once.
+  virtual void SetSlotLimit(ServiceId service,
+                            DomainId domain,
+                            Slots limit) = 0;
+
+  // Refuses requests from now on; those already taken are finished.
+  virtual void StopAdmitting() = 0;
+
   // Takes charge of a request. Its fate comes out of NextAction().
   virtual RequestHandle Submit(TimePoint now, const RequestTraits& traits) = 0;
 
@@ -117,8 +251,13 @@
 
   // When NextAction() should be asked again if no event comes before.
   virtual TimePoint NextWakeup() const = 0;
+
+  virtual DispatcherStats Stats() const = 0;
+  virtual BackendStatus StatusOf(BackendId backend) const = 0;
 };
 
+std::unique_ptr<Dispatcher> CreateDispatcher(const DispatcherInit& init);
+
 }  // namespace comfreystand::steer
 
 #endif  // COMFREYSTAND_STEER_DISPATCH_H_
--- /dev/null
+++ b/src/steer/balance_backend.cc
@@ -0,0 +1,93 @@
+#include "src/steer/balance_backend.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace comfreystand::steer {
+namespace {
+
+constexpr uint8_t kSilentStrikes = 2;
+constexpr uint8_t kConnectFailures = 2;
+// Time after which a report of other nodes' work counts for 1/e.
+constexpr double kForeignFadeMicros = 300'000;
+
+}  // namespace
+
+bool Backend::Apply(const BackendUpdate& update) {
+  const bool known = id.IsValid();
+  if (known && update.incarnation < incarnation) {
+    return false;
+  }
+  const bool same_life = known && update.incarnation == incarnation;
+  BackendState next = update.state;
+  if (same_life) {
+    // A life only ever ends: live, leaving, gone.
+    next = std::max(state, update.state);
+  } else {
+    served = 0;
+    weight = 1;
+    suspect = false;
+    silent_strikes_ = 0;
+    connect_failures_ = 0;
+  }
+  const bool changed = !same_life || next != state ||
+                       service != update.service || domain != update.domain ||
+                       slots != static_cast<uint32_t>(update.slots.value);
+  id = update.backend;
+  service = update.service;
+  domain = update.domain;
+  slots = static_cast<uint32_t>(std::max(1, update.slots.value));
+  incarnation = update.incarnation;
+  state = next;
+  return changed;
+}
+
+void Backend::MarkLeaving() {
+  state = std::max(state, BackendState::kLeaving);
+}
+
+uint32_t Backend::Allowance(uint32_t warm_after, bool siblings_warm) const {
+  double share = weight;
+  if (siblings_warm && served < warm_after) {
+    share = std::min(share, (1.0 + served) / warm_after);
+  }
+  const auto allowed = static_cast<uint32_t>(std::ceil(share * slots));
+  return std::clamp(allowed, 1U, slots);
+}
+
+double Backend::ForeignBusy(TimePoint now) const {
+  const double age = static_cast<double>((now - foreign_at_).count());
+  return foreign_busy_ * std::exp(-age / kForeignFadeMicros);
+}
+
+void Backend::SetForeignBusy(TimePoint now, double busy) {
+  foreign_busy_ = std::clamp(busy, 0.0, static_cast<double>(slots));
+  foreign_at_ = now;
+}
+
+void Backend::OnProgress(TimePoint now) {
+  last_progress_ = now;
+  silent_strikes_ = 0;
+  connect_failures_ = 0;
+  suspect = false;
+}
+
+bool Backend::OnSilent(TimePoint attempt_start) {
+  if (last_progress_ > attempt_start) {
+    return false;
+  }
+  return ++silent_strikes_ >= kSilentStrikes;
+}
+
+bool Backend::OnConnectFailed() {
+  return ++connect_failures_ >= kConnectFailures;
+}
+
+void Backend::Suspect(TimePoint now, Duration trial_interval) {
+  suspect = true;
+  trial_wait = trial_interval;
+  next_trial = now + trial_interval;
+  next_probe = now;
+}
+
+}  // namespace comfreystand::steer
--- /dev/null
+++ b/src/steer/balance_backend.h
@@ -0,0 +1,78 @@
+#ifndef COMFREYSTAND_SRC_STEER_BALANCE_BACKEND_H_
+#define COMFREYSTAND_SRC_STEER_BALANCE_BACKEND_H_
+
+#include <cstdint>
+
+#include "comfreystand/base.h"
+#include "comfreystand/steer/dispatch.h"
+#include "src/steer/balance_slowness.h"
+
+namespace comfreystand::steer {
+
+// Weight of a backend server that gets trial requests only.
+constexpr double kEjectedWeight = 0.05;
+
+// What one node knows of one backend server.
+struct Backend {
+  // Takes in an update of the driver. Returns true when something changed that
+  // the pool's order depends on.
+  bool Apply(const BackendUpdate& update);
+
+  // The backend server said itself that it is leaving.
+  void MarkLeaving();
+
+  bool IsEjected() const { return weight <= kEjectedWeight; }
+
+  // Slots that the node may fill at `now`, by weight and warmth.
+  uint32_t Allowance(uint32_t warm_after, bool siblings_warm) const;
+
+  // Estimate of slots that other nodes fill; fades with its age.
+  double ForeignBusy(TimePoint now) const;
+  void SetForeignBusy(TimePoint now, double busy);
+
+  // Records that something came from the backend server.
+  void OnProgress(TimePoint now);
+
+  // A connection went silent. Returns true when the silence is the backend
+  // server's and not only the connection's.
+  bool OnSilent(TimePoint attempt_start);
+
+  // No connection could be made. Returns true when the backend server counts
+  // as unreachable from now on.
+  bool OnConnectFailed();
+
+  void Suspect(TimePoint now, Duration trial_interval);
+
+  BackendId id;
+  ServiceId service;
+  DomainId domain;
+  uint32_t slots = 1;
+  BackendState state = BackendState::kGone;
+  Incarnation incarnation;
+
+  uint32_t in_flight = 0;
+  uint32_t long_in_flight = 0;
+  // Requests answered since it was first seen.
+  uint32_t served = 0;
+
+  SlownessEstimate slowness;
+  double weight = 1;
+  // Neither answers nor accepts; only trials and probes go there.
+  bool suspect = false;
+  TimePoint next_trial;
+  Duration trial_wait{0};
+  TimePoint next_probe;
+  // Refused work for want of slots; gets none until then.
+  TimePoint refused_until;
+
+ private:
+  TimePoint last_progress_;
+  uint8_t silent_strikes_ = 0;
+  uint8_t connect_failures_ = 0;
+  double foreign_busy_ = 0;
+  TimePoint foreign_at_;
+};
+
+}  // namespace comfreystand::steer
+
+#endif  // COMFREYSTAND_SRC_STEER_BALANCE_BACKEND_H_
--- /dev/null
+++ b/src/steer/dispatch_admit.cc
@@ -0,0 +1,186 @@
+#include <algorithm>
+
+#include "comfreystand/limits.h"
+#include "src/steer/dispatch_core.h"
+
+namespace comfreystand::steer {
+namespace {
+
+// Latest start of queued work, in multiples of its expected latency before
+// its deadline.
+constexpr int kStartMargin = 2;
+
+}  // namespace
+
+RequestHandle DispatcherCore::Submit(TimePoint now,
+                                     const RequestTraits& traits) {
+  ++stats_.submitted;
+  retry_budget_.OnRequest();
+  hedge_budget_.OnRequest();
+  RebuildPools();
+  const RequestHandle handle = requests_.Create();
+  Request* request = requests_.Find(handle);
+  request->traits = traits;
+  request->history.idempotent = traits.idempotent;
+  const Service* service = FindService(traits.service);
+  if (!admitting_) {
+    Reject(handle, request, RejectReason::kDraining, Duration(0));
+    return handle;
+  }
+  if (traits.deadline <= now) {
+    Reject(handle, request, RejectReason::kDeadlineExceeded, Duration(0));
+    return handle;
+  }
+  if (service == nullptr || !service->pool.HasLive()) {
+    Reject(handle, request, RejectReason::kNoBackend, limits::kMinRetryAfter);
+    return handle;
+  }
+  Classify(request);
+  const Lane lane = request->lane;
+  Enqueue(now, handle, request);
+  Pump(now, traits.service);
+  Shed(now, traits.service, lane, traits.deadline);
+  return handle;
+}
+
+void DispatcherCore::Classify(Request* request) {
+  const RequestTraits& traits = request->traits;
+  const WorkKey key = {traits.service, traits.request_class, traits.path_hash};
+  request->expected = learner_.Expected(key);
+  double least_share = init_.tuning.learned_long_share;
+  for (const ClassRule& rule : init_.rules.classes) {
+    least_share = std::min(least_share, rule.max_slot_share.value);
+  }
+  const auto& classes = init_.rules.classes;
+  if (traits.request_class.value < classes.size()) {
+    const ClassRule& rule = classes[traits.request_class.value];
+    request->priority = rule.priority;
+    request->long_share = rule.max_slot_share.value;
+  }
+  if (request->long_share < 1) {
+    request->lane = Lane::kLong;
+  } else if (learner_.IsLong(key)) {
+    request->lane = Lane::kLong;
+    request->long_share = least_share;
+    ++stats_.reclassified_long;
+  }
+}
+
+void DispatcherCore::Enqueue(TimePoint now,
+                             RequestHandle handle,
+                             Request* request) {
+  const TimePoint deadline = request->traits.deadline;
+  request->latest_start = std::max(now + (deadline - now) / 2,
+                                   deadline - kStartMargin * request->expected);
+  Service* service = FindService(request->traits.service);
+  service->queues[static_cast<size_t>(request->lane)].Push(
+      handle, request->traits.caller, request->priority, deadline);
+  request->queued = true;
+  ++queued_;
+  Schedule(handle, request);
+}
+
+void DispatcherCore::Shed(TimePoint now,
+                          ServiceId service_id,
+                          Lane lane,
+                          TimePoint deadline) {
+  FairQueue& queue = FindService(service_id)->queues[static_cast<size_t>(lane)];
+  const double left = static_cast<double>((deadline - now).count());
+  const Duration allowed(
+      static_cast<int64_t>(left * init_.tuning.max_queue_share));
+  while (queue.size() > 0 && (EstimatedWait(service_id, lane) > allowed ||
+                              queued_ > init_.tuning.max_queued)) {
+    const Duration wait = RetryAfter(service_id, lane);
+    const RequestHandle worst = queue.PopWorst()->request;
+    Request* request = requests_.Find(worst);
+    request->queued = false;
+    --queued_;
+    ++stats_.shed;
+    Reject(worst, request, RejectReason::kOverloaded, wait);
+  }
+}
+
+Duration DispatcherCore::EstimatedWait(ServiceId service_id, Lane lane) const {
+  const Service* service = FindService(service_id);
+  const FairQueue& queue = service->queues[static_cast<size_t>(lane)];
+  if (queue.size() == 0) {
+    return Duration(0);
+  }
+  const auto front = requests_.Find(queue.Front()->request);
+  const Duration each = lane == Lane::kShort ? learner_.TypicalShort(service_id)
+                                             : front->expected;
+  const uint32_t busy = std::max(1U, service->pool.InFlight(lane));
+  return each * queue.size() / busy;
+}
+
+Duration DispatcherCore::RetryAfter(ServiceId service, Lane lane) const {
+  return std::clamp<Duration>(EstimatedWait(service, lane),
+                              limits::kMinRetryAfter, limits::kMaxRetryAfter);
+}
+
+void DispatcherCore::Pump(TimePoint now, ServiceId service_id) {
+  Service* service = FindService(service_id);
+  if (service == nullptr) {
+    return;
+  }
+  for (const Lane lane : {Lane::kShort, Lane::kLong}) {
+    while (StartNext(now, service, lane)) {
+    }
+  }
+}
+
+bool DispatcherCore::StartNext(TimePoint now, Service* service, Lane lane) {
+  FairQueue& queue = service->queues[static_cast<size_t>(lane)];
+  const QueueEntry* front = queue.Front();
+  if (front == nullptr) {
+    return false;
+  }
+  const RequestHandle handle = front->request;
+  Request* request = requests_.Find(handle);
+  const Choice choice = ChooseFor(now, service, *request);
+  if (!choice.backend.IsValid()) {
+    return false;
+  }
+  queue.PopFront();
+  request->queued = false;
+  --queued_;
+  StartAttempt(now, handle, request, choice);
+  return true;
+}
+
+Choice DispatcherCore::ChooseFor(TimePoint now,
+                                 Service* service,
+                                 const Request& request) {
+  const Duration wait = EstimatedWait(request.traits.service, request.lane);
+  const bool go_far =
+      !service->pool.HasLocal() || wait > init_.tuning.other_region_rtt;
+  ChoiceRequest wanted = {
+      .lane = request.lane,
+      .idempotent = request.traits.idempotent,
+      .exclude = Tried(request),
+      .expected = request.expected,
+      .long_share = request.long_share,
+      .reach = go_far ? Distance::kOtherRegion : Distance::kSameRegion};
+  Choice choice = service->pool.Choose(now, wanted);
+  if (!choice.backend.IsValid() && !wanted.exclude.empty()) {
+    wanted.exclude = {};
+    choice = service->pool.Choose(now, wanted);
+  }
+  return choice;
+}
+
+std::span<const BackendId> DispatcherCore::Tried(const Request& request) const {
+  return {request.tried.data(),
+          std::min<size_t>(request.history.attempts, kAttemptsKept)};
+}
+
+DispatcherCore::Service* DispatcherCore::FindService(ServiceId service) {
+  return service.value < services_.size() ? &services_[service.value] : nullptr;
+}
+
+const DispatcherCore::Service* DispatcherCore::FindService(
+    ServiceId service) const {
+  return service.value < services_.size() ? &services_[service.value] : nullptr;
+}
+
+}  // namespace comfreystand::steer
--- /dev/null
+++ b/src/steer/dispatch_attempt.cc
@@ -0,0 +1,277 @@
+#include <algorithm>
+
+#include "src/steer/dispatch_core.h"
+
+namespace comfreystand::steer {
+namespace {
+
+// Bound on what one attempt counts for in a slowness estimate.
+constexpr double kSlowestCounted = 8;
+
+bool RefusedForLoad(const AttemptReport& report) {
+  return report.event == AttemptEvent::kRefused && !report.leaving;
+}
+
+// An attempt that was turned away says nothing about latency.
+bool TellsLatency(AttemptEvent event) {
+  return event == AttemptEvent::kAnswered || event == AttemptEvent::kBroken ||
+         event == AttemptEvent::kCancelledBeforeStart;
+}
+
+}  // namespace
+
+void DispatcherCore::OnAttempt(TimePoint now,
+                               AttemptHandle handle,
+                               const AttemptReport& report) {
+  Attempt* attempt = attempts_.Find(handle);
+  if (attempt == nullptr) {
+    ++stats_.stale_reports;
+    return;
+  }
+  Backend& backend = backends_[attempt->backend.value];
+  if (report.reported_free_slots >= 0) {
+    backend.SetForeignBusy(now, static_cast<double>(backend.slots) -
+                                    report.reported_free_slots -
+                                    backend.in_flight);
+  }
+  if (report.leaving) {
+    backend.MarkLeaving();
+    MarkRebuild(backend.service);
+  }
+  if (IsTerminal(report.event)) {
+    const Attempt ended = *attempt;
+    EndAttempt(now, handle, ended, report);
+    return;
+  }
+  if (report.event == AttemptEvent::kWritten) {
+    attempt->progress.written = true;
+    return;
+  }
+  attempt->progress.answer_started = true;
+  backend.OnProgress(now);
+  Request* request = requests_.Find(attempt->request);
+  if (request != nullptr && !request->delivering.IsValid()) {
+    Deliver(attempt->request, request, handle);
+  }
+}
+
+void DispatcherCore::StartAttempt(TimePoint now,
+                                  RequestHandle handle,
+                                  Request* request,
+                                  const Choice& choice) {
+  const RequestTraits& traits = request->traits;
+  const AttemptHandle attempt_handle = attempts_.Create();
+  Attempt* attempt = attempts_.Find(attempt_handle);
+  attempt->request = handle;
+  attempt->backend = choice.backend;
+  attempt->service = traits.service;
+  attempt->key = {traits.service, traits.request_class, traits.path_hash};
+  attempt->lane = request->lane;
+  attempt->expected = request->expected;
+  attempt->started = now;
+  Service* service = FindService(traits.service);
+  service->pool.OnStart(now, &backends_[choice.backend.value], request->lane,
+                        request->expected);
+  request->open[request->history.open_attempts] = attempt_handle;
+  request->tried[request->history.attempts] = choice.backend;
+  ++request->history.open_attempts;
+  ++request->history.attempts;
+  ++stats_.attempts;
+  const double factor = choice.trial ? 1
+                                     : std::max(init_.tuning.min_hedge_factor,
+                                                service->hedge_factor.Get());
+  if (request->lane == Lane::kShort) {
+    request->hedge_at =
+        now + Duration(static_cast<int64_t>(
+                  factor * static_cast<double>(request->expected.count())));
+  }
+  actions_.push_back({.type = ActionType::kStartAttempt,
+                      .request = handle,
+                      .attempt = attempt_handle,
+                      .backend = choice.backend,
+                      .deadline = traits.deadline});
+  Schedule(handle, request);
+}
+
+void DispatcherCore::EndAttempt(TimePoint now,
+                                AttemptHandle handle,
+                                const Attempt& attempt,
+                                const AttemptReport& report) {
+  attempts_.Destroy(handle);
+  BookEnd(now, attempt, report);
+  RebuildPools();
+  ContinueRequest(now, handle, attempt, report);
+  Pump(now, attempt.service);
+}
+
+void DispatcherCore::BookEnd(TimePoint now,
+                             const Attempt& attempt,
+                             const AttemptReport& report) {
+  Backend& backend = backends_[attempt.backend.value];
+  FindService(attempt.service)->pool.OnEnd(&backend, attempt.lane);
+  const bool answered = report.event == AttemptEvent::kAnswered;
+  if (!attempt.excluded) {
+    backend.slowness.OnEnd(now, attempt.started, attempt.expected, answered,
+                           TellsLatency(report.event) ? kSlowestCounted : 0);
+  }
+  if (answered) {
+    backend.OnProgress(now);
+    ++backend.served;
+    LearnFrom(now, attempt);
+  }
+  if (RefusedForLoad(report)) {
+    backend.OnProgress(now);
+    backend.SetForeignBusy(now, backend.slots);
+    backend.refused_until = now + learner_.TypicalShort(attempt.service) / 2;
+  }
+  if (report.event == AttemptEvent::kConnectFailed &&
+      backend.OnConnectFailed()) {
+    backend.Suspect(now, init_.tuning.trial_interval);
+  }
+  if (report.silent && backend.OnSilent(attempt.started)) {
+    ++stats_.silent_backends;
+    backend.Suspect(now, init_.tuning.trial_interval);
+  } else if (report.silent) {
+    ++stats_.silent_connections;
+  }
+}
+
+void DispatcherCore::LearnFrom(TimePoint now, const Attempt& attempt) {
+  const Duration latency = now - attempt.started;
+  learner_.OnFinished(attempt.key, attempt.lane, attempt.backend, latency);
+  if (attempt.lane == Lane::kShort && attempt.expected.count() > 0) {
+    FindService(attempt.service)
+        ->hedge_factor.Observe(static_cast<double>(latency.count()) /
+                               static_cast<double>(attempt.expected.count()));
+  }
+}
+
+void DispatcherCore::ContinueRequest(TimePoint now,
+                                     AttemptHandle ended,
+                                     const Attempt& attempt,
+                                     const AttemptReport& report) {
+  Request* request = requests_.Find(attempt.request);
+  if (request == nullptr) {
+    return;
+  }
+  const auto last = request->open.begin() + request->history.open_attempts;
+  const auto found = std::find(request->open.begin(), last, ended);
+  *found = *(last - 1);
+  --request->history.open_attempts;
+  const RunVerdict verdict = JudgeAttempt(attempt.progress, report.event);
+  if (verdict != RunVerdict::kNotRun) {
+    request->history.any_may_have_run = true;
+  }
+  if (report.event == AttemptEvent::kAnswered) {
+    if (!request->delivering.IsValid()) {
+      Deliver(attempt.request, request, ended);
+    }
+    if (request->delivering == ended) {
+      ++stats_.delivered;
+      requests_.Destroy(attempt.request);
+    }
+    return;
+  }
+  if (request->delivering == ended) {
+    Reject(attempt.request, request, RejectReason::kAttemptFailed, Duration(0));
+    return;
+  }
+  if (!request->delivering.IsValid() && request->history.open_attempts == 0) {
+    ResendOrReject(now, attempt.request, request, report.event);
+  }
+}
+
+void DispatcherCore::ResendOrReject(TimePoint now,
+                                    RequestHandle handle,
+                                    Request* request,
+                                    AttemptEvent event) {
+  const ServiceId service = request->traits.service;
+  const TimePoint last_start =
+      request->traits.deadline - init_.tuning.cancel_lead;
+  if (request->closing || now >= last_start) {
+    Reject(handle, request, RejectReason::kDeadlineExceeded, Duration(0));
+    return;
+  }
+  const RejectReason reason = event == AttemptEvent::kRefused
+                                  ? RejectReason::kOverloaded
+                                  : RejectReason::kAttemptFailed;
+  const uint8_t most = std::min<uint8_t>(init_.tuning.max_attempts,
+                                         static_cast<uint8_t>(kAttemptsKept));
+  if (!MayResend(request->history, most)) {
+    Reject(handle, request, reason, RetryAfter(service, request->lane));
+    return;
+  }
+  if (!retry_budget_.Take()) {
+    ++stats_.resends_denied;
+    Reject(handle, request, reason, RetryAfter(service, request->lane));
+    return;
+  }
+  ++stats_.resends;
+  Enqueue(now, handle, request);
+}
+
+void DispatcherCore::Deliver(RequestHandle handle,
+                             Request* request,
+                             AttemptHandle attempt) {
+  request->delivering = attempt;
+  request->history.delivering = true;
+  actions_.push_back({.type = ActionType::kDeliver,
+                      .request = handle,
+                      .attempt = attempt,
+                      .verdict = RunVerdict::kRan});
+  CancelOpen(*request, attempt);
+  Schedule(handle, request);
+}
+
+void DispatcherCore::CancelOpen(const Request& request, AttemptHandle except) {
+  for (uint8_t i = 0; i < request.history.open_attempts; ++i) {
+    const AttemptHandle handle = request.open[i];
+    Attempt* attempt = attempts_.Find(handle);
+    if (handle == except || attempt == nullptr || attempt->cancelled) {
+      continue;
+    }
+    attempt->cancelled = true;
+    ++stats_.cancelled_attempts;
+    actions_.push_back({.type = ActionType::kCancelAttempt,
+                        .request = attempt->request,
+                        .attempt = handle,
+                        .backend = attempt->backend});
+  }
+}
+
+void DispatcherCore::TryHedge(TimePoint now,
+                              RequestHandle handle,
+                              Request* request) {
+  Service* service = FindService(request->traits.service);
+  request->hedge_at = now + request->expected;
+  const uint8_t most = std::min<uint8_t>(init_.tuning.max_attempts,
+                                         static_cast<uint8_t>(kAttemptsKept));
+  // Free slots belong to waiting requests first.
+  const bool others_wait =
+      service->queues[static_cast<size_t>(Lane::kShort)].size() > 0;
+  if (!MayHedge(request->history, most)) {
+    request->hedge_at = TimePoint::max();
+    return;
+  }
+  if (others_wait) {
+    return;
+  }
+  if (hedge_budget_.Available() < 1) {
+    ++stats_.hedges_denied;
+    return;
+  }
+  const Choice choice =
+      service->pool.Choose(now, {.lane = request->lane,
+                                 .idempotent = true,
+                                 .exclude = Tried(*request),
+                                 .expected = request->expected,
+                                 .trials = false});
+  if (!choice.backend.IsValid()) {
+    return;
+  }
+  hedge_budget_.Take();
+  ++stats_.hedges;
+  StartAttempt(now, handle, request, choice);
+}
+
+}  // namespace comfreystand::steer
--- /dev/null
+++ b/src/steer/dispatch_core.cc
@@ -0,0 +1,329 @@
+#include "src/steer/dispatch_core.h"
+
+#include <algorithm>
+
+#include "comfreystand/limits.h"
+
+namespace comfreystand::steer {
+namespace {
+
+// Weight that a backend server comes back with after a probe was answered.
+constexpr double kProbedWeight = 0.34;
+constexpr Duration kLeastProbeInterval{500'000};
+constexpr Duration kOldestLoadReport{1'000'000};
+
+}  // namespace
+
+DispatcherCore::DispatcherCore(const DispatcherInit& init)
+    : init_(init),
+      retry_budget_(init.tuning.retry_ratio, init.tuning.retry_burst),
+      hedge_budget_(init.tuning.hedge_ratio, init.tuning.hedge_burst),
+      learner_(init.tuning.long_factor) {}
+
+void DispatcherCore::SetRules(TimePoint now, const RuleSet& rules) {
+  init_.rules = rules;
+  for (Service& service : services_) {
+    service.needs_rebuild = true;
+  }
+  rebuild_ = true;
+}
+
+void DispatcherCore::UpdateBackend(TimePoint now, const BackendUpdate& update) {
+  if (update.backend.value >= limits::kMaxBackends ||
+      update.service.value >= limits::kMaxServices) {
+    return;
+  }
+  if (update.backend.value >= backends_.size()) {
+    backends_.resize(update.backend.value + 1);
+  }
+  while (update.service.value >= services_.size()) {
+    services_.emplace_back(init_.tuning, &backends_);
+  }
+  Backend& backend = backends_[update.backend.value];
+  const ServiceId before = backend.service;
+  if (!backend.Apply(update)) {
+    return;
+  }
+  if (before != update.service) {
+    MarkRebuild(before);
+  }
+  MarkRebuild(update.service);
+  RebuildPools();
+  Pump(now, update.service);
+}
+
+void DispatcherCore::SetPeersInDomain(uint32_t rank, uint32_t count) {
+  peers_ = {.rank = rank, .count = std::max(1U, count)};
+  for (Service& service : services_) {
+    service.needs_rebuild = true;
+  }
+  rebuild_ = true;
+}
+
+void DispatcherCore::SetSlotLimit(ServiceId service,
+                                  DomainId domain,
+                                  Slots limit) {
+  if (service.value >= limits::kMaxServices) {
+    return;
+  }
+  while (service.value >= services_.size()) {
+    services_.emplace_back(init_.tuning, &backends_);
+  }
+  services_[service.value].pool.SetLimit(domain, limit.value);
+  MarkRebuild(service);
+}
+
+void DispatcherCore::CancelRequest(TimePoint now, RequestHandle handle) {
+  Request* request = requests_.Find(handle);
+  if (request == nullptr) {
+    return;
+  }
+  Reject(handle, request, RejectReason::kCancelledByCaller, Duration(0));
+}
+
+void DispatcherCore::OnLoadReport(TimePoint now, const LoadReport& report) {
+  if (report.backend.value >= backends_.size() ||
+      report.age > kOldestLoadReport) {
+    return;
+  }
+  Backend& backend = backends_[report.backend.value];
+  backend.SetForeignBusy(now - report.age,
+                         static_cast<double>(report.busy.value) -
+                             static_cast<double>(backend.in_flight));
+}
+
+void DispatcherCore::OnProbe(TimePoint now, BackendId id, bool answered) {
+  if (id.value >= backends_.size() || !answered) {
+    return;
+  }
+  Backend& backend = backends_[id.value];
+  if (backend.suspect) {
+    backend.OnProgress(now);
+    backend.weight = kProbedWeight;
+    Pump(now, backend.service);
+  }
+}
+
+bool DispatcherCore::NextAction(TimePoint now, Action* action) {
+  if (actions_.empty()) {
+    RebuildPools();
+    RunTimers(now);
+  }
+  if (actions_.empty()) {
+    return false;
+  }
+  *action = actions_.front();
+  actions_.pop_front();
+  return true;
+}
+
+TimePoint DispatcherCore::NextWakeup() const {
+  TimePoint next = TimePoint::max();
+  if (!timers_.empty()) {
+    next = timers_.front().when;
+  }
+  if (requests_.size() > 0 || attempts_.size() > 0 || Unsettled()) {
+    next = std::min(next, next_interval_);
+  }
+  return next;
+}
+
+void DispatcherCore::Reject(RequestHandle handle,
+                            Request* request,
+                            RejectReason reason,
+                            Duration retry_after) {
+  if (request->queued) {
+    FindService(request->traits.service)
+        ->queues[static_cast<size_t>(request->lane)]
+        .Remove(handle);
+    --queued_;
+  }
+  CancelOpen(*request, AttemptHandle());
+  const RunVerdict verdict = JudgeRequest(request->history);
+  const bool not_run = verdict == RunVerdict::kNotRun;
+  ++(not_run ? stats_.rejected_not_run : stats_.rejected_may_have_run);
+  actions_.push_back({.type = ActionType::kReject,
+                      .request = handle,
+                      .verdict = verdict,
+                      .reason = reason,
+                      .retry_after = not_run ? retry_after : Duration(0)});
+  requests_.Destroy(handle);
+}
+
+void DispatcherCore::Schedule(RequestHandle handle, Request* request) {
+  const TimePoint deadline = request->traits.deadline;
+  TimePoint due = TimePoint::max();
+  if (request->queued) {
+    due = request->latest_start;
+  } else if (!request->delivering.IsValid()) {
+    const TimePoint close = deadline - init_.tuning.cancel_lead;
+    due = request->closing ? deadline : std::min(request->hedge_at, close);
+  }
+  request->due = due;
+  if (due == TimePoint::max()) {
+    return;
+  }
+  timers_.push_back({.when = due, .request = handle});
+  std::push_heap(timers_.begin(), timers_.end(), FiresAfter);
+}
+
+void DispatcherCore::RunTimers(TimePoint now) {
+  while (!timers_.empty() && timers_.front().when <= now) {
+    const Timer timer = timers_.front();
+    std::pop_heap(timers_.begin(), timers_.end(), FiresAfter);
+    timers_.pop_back();
+    Request* request = requests_.Find(timer.request);
+    if (request != nullptr && request->due == timer.when) {
+      OnDue(now, timer.request, request);
+    }
+  }
+  if (now >= next_interval_) {
+    next_interval_ = now + limits::kBalanceInterval;
+    RunInterval(now);
+  }
+}
+
+void DispatcherCore::OnDue(TimePoint now,
+                           RequestHandle handle,
+                           Request* request) {
+  const TimePoint deadline = request->traits.deadline;
+  if (request->queued) {
+    const Duration wait = RetryAfter(request->traits.service, request->lane);
+    ++stats_.shed;
+    Reject(handle, request, RejectReason::kOverloaded, wait);
+    return;
+  }
+  if (now >= deadline) {
+    Reject(handle, request, RejectReason::kDeadlineExceeded, Duration(0));
+    return;
+  }
+  if (now >= deadline - init_.tuning.cancel_lead) {
+    request->closing = true;
+    CancelOpen(*request, AttemptHandle());
+  } else if (now >= request->hedge_at) {
+    TryHedge(now, handle, request);
+  }
+  Schedule(handle, request);
+}
+
+void DispatcherCore::RunInterval(TimePoint now) {
+  ReclassifyRunning(now);
+  for (size_t i = 0; i < services_.size(); ++i) {
+    services_[i].pool.Evaluate(now, &stats_);
+    Pump(now, ServiceId(static_cast<uint16_t>(i)));
+  }
+  SendProbes(now);
+}
+
+void DispatcherCore::ReclassifyRunning(TimePoint now) {
+  attempts_.ForEach([&](AttemptHandle, Attempt* attempt) {
+    if (attempt->lane == Lane::kLong) {
+      return;
+    }
+    const Duration age = now - attempt->started;
+    if (!learner_.OnRunning(attempt->key, attempt->backend, age)) {
+      return;
+    }
+    Backend& backend = backends_[attempt->backend.value];
+    attempt->lane = Lane::kLong;
+    attempt->excluded = true;
+    backend.slowness.OnExcluded(attempt->started, attempt->expected,
+                                init_.tuning.long_factor);
+    FindService(attempt->service)->pool.OnBecameLong(&backend);
+  });
+}
+
+void DispatcherCore::SendProbes(TimePoint now) {
+  for (Backend& backend : backends_) {
+    if (!backend.suspect || backend.state != BackendState::kLive ||
+        now < backend.next_probe) {
+      continue;
+    }
+    backend.next_probe = now + ProbeInterval(backend);
+    ++stats_.probes;
+    actions_.push_back({.type = ActionType::kProbe, .backend = backend.id});
+  }
+}
+
+Duration DispatcherCore::ProbeInterval(const Backend& backend) const {
+  const auto& services = init_.rules.services;
+  if (backend.service.value >= services.size()) {
+    return kLeastProbeInterval;
+  }
+  const Duration cost = services[backend.service.value].probe_cost;
+  const double all_slots = init_.tuning.probe_share * backend.slots;
+  const Duration interval(static_cast<int64_t>(
+      static_cast<double>(cost.count()) * peers_.count / all_slots));
+  return std::max(kLeastProbeInterval, interval);
+}
+
+bool DispatcherCore::Unsettled() const {
+  return std::any_of(backends_.begin(), backends_.end(), [](const Backend& b) {
+    return b.state == BackendState::kLive && (b.suspect || b.weight < 1);
+  });
+}
+
+void DispatcherCore::MarkRebuild(ServiceId service) {
+  if (Service* found = FindService(service)) {
+    found->needs_rebuild = true;
+    rebuild_ = true;
+  }
+}
+
+void DispatcherCore::RebuildPools() {
+  if (!rebuild_) {
+    return;
+  }
+  rebuild_ = false;
+  std::vector<BackendId> members;
+  for (size_t i = 0; i < services_.size(); ++i) {
+    if (!services_[i].needs_rebuild) {
+      continue;
+    }
+    services_[i].needs_rebuild = false;
+    members.clear();
+    for (const Backend& backend : backends_) {
+      if (backend.id.IsValid() && backend.service.value == i) {
+        members.push_back(backend.id);
+      }
+    }
+    services_[i].pool.Rebuild(init_, members, peers_, ConnectionBudget(i));
+  }
+}
+
+uint32_t DispatcherCore::ConnectionBudget(size_t service) const {
+  const auto& rules = init_.rules.services;
+  if (service >= rules.size() || rules[service].connections_per_backend <= 0) {
+    return UINT32_MAX;
+  }
+  return static_cast<uint32_t>(init_.connection_share *
+                               rules[service].connections_per_backend);
+}
+
+DispatcherStats DispatcherCore::Stats() const {
+  DispatcherStats stats = stats_;
+  stats.queued = queued_;
+  stats.in_flight = attempts_.size();
+  for (const Service& service : services_) {
+    stats.ejected_backends += service.pool.EjectedCount();
+  }
+  return stats;
+}
+
+BackendStatus DispatcherCore::StatusOf(BackendId id) const {
+  if (id.value >= backends_.size()) {
+    return {};
+  }
+  const Backend& backend = backends_[id.value];
+  return {.state = backend.state,
+          .in_flight = backend.in_flight,
+          .long_in_flight = backend.long_in_flight,
+          .slowness = backend.slowness.Get(next_interval_),
+          .weight = backend.suspect ? 0 : backend.weight};
+}
+
+std::unique_ptr<Dispatcher> CreateDispatcher(const DispatcherInit& init) {
+  return std::make_unique<DispatcherCore>(init);
+}
+
+}  // namespace comfreystand::steer
--- /dev/null
+++ b/src/steer/dispatch_core.h
@@ -0,0 +1,176 @@
+#ifndef COMFREYSTAND_SRC_STEER_DISPATCH_CORE_H_
+#define COMFREYSTAND_SRC_STEER_DISPATCH_CORE_H_
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <span>
+#include <vector>
+
+#include "comfreystand/base.h"
+#include "comfreystand/steer/dispatch.h"
+#include "src/steer/admission_learn.h"
+#include "src/steer/admission_queue.h"
+#include "src/steer/balance_backend.h"
+#include "src/steer/balance_pool.h"
+#include "src/steer/dispatch_slab.h"
+#include "src/steer/retry_budget.h"
+#include "src/steer/retry_quantile.h"
+#include "src/steer/retry_verdict.h"
+
+namespace comfreystand::steer {
+
+// Most tries of one request that are kept track of.
+constexpr size_t kAttemptsKept = 4;
+
+// The dispatcher: queues at the entry VM, choice of backend server, attempts
+// and their verdicts. The parts that decide are in the classes it owns.
+class DispatcherCore final : public Dispatcher {
+ public:
+  explicit DispatcherCore(const DispatcherInit& init);
+
+  void SetRules(TimePoint now, const RuleSet& rules) override;
+  void UpdateBackend(TimePoint now, const BackendUpdate& update) override;
+  void SetPeersInDomain(uint32_t rank, uint32_t count) override;
+  void SetSlotLimit(ServiceId service, DomainId domain, Slots limit) override;
+  void StopAdmitting() override { admitting_ = false; }
+  RequestHandle Submit(TimePoint now, const RequestTraits& traits) override;
+  void CancelRequest(TimePoint now, RequestHandle request) override;
+  void OnAttempt(TimePoint now,
+                 AttemptHandle attempt,
+                 const AttemptReport& report) override;
+  void OnLoadReport(TimePoint now, const LoadReport& report) override;
+  void OnProbe(TimePoint now, BackendId backend, bool answered) override;
+  bool NextAction(TimePoint now, Action* action) override;
+  TimePoint NextWakeup() const override;
+  DispatcherStats Stats() const override;
+  BackendStatus StatusOf(BackendId backend) const override;
+
+ private:
+  struct Request {
+    RequestTraits traits;
+    RequestHistory history;
+    Lane lane = Lane::kShort;
+    Duration expected{0};
+    int priority = 0;
+    double long_share = 1;
+    bool queued = false;
+    // Running attempts have been cancelled because the deadline is near.
+    bool closing = false;
+    AttemptHandle delivering;
+    std::array<AttemptHandle, kAttemptsKept> open;
+    std::array<BackendId, kAttemptsKept> tried;
+    TimePoint latest_start;
+    TimePoint hedge_at = TimePoint::max();
+    TimePoint due = TimePoint::max();
+  };
+
+  struct Attempt {
+    RequestHandle request;
+    BackendId backend;
+    ServiceId service;
+    WorkKey key;
+    Lane lane = Lane::kShort;
+    Duration expected{0};
+    TimePoint started;
+    AttemptProgress progress;
+    bool cancelled = false;
+    // Turned out long while running; no evidence of slowness.
+    bool excluded = false;
+  };
+
+  struct Service {
+    Service(const DispatchTuning& tuning, std::vector<Backend>* backends)
+        : pool(tuning, backends), hedge_factor(tuning.hedge_quantile) {}
+    ServicePool pool;
+    std::array<FairQueue, kLanes> queues;
+    QuantileEstimate hedge_factor;
+    bool needs_rebuild = false;
+  };
+
+  struct Timer {
+    TimePoint when;
+    RequestHandle request;
+  };
+
+  static bool FiresAfter(const Timer& a, const Timer& b) {
+    return a.when > b.when;
+  }
+
+  // Admission; dispatch_admit.cc.
+  void Classify(Request* request);
+  void Enqueue(TimePoint now, RequestHandle handle, Request* request);
+  void Shed(TimePoint now, ServiceId service, Lane lane, TimePoint deadline);
+  Duration EstimatedWait(ServiceId service, Lane lane) const;
+  Duration RetryAfter(ServiceId service, Lane lane) const;
+  void Pump(TimePoint now, ServiceId service);
+  bool StartNext(TimePoint now, Service* service, Lane lane);
+  Choice ChooseFor(TimePoint now, Service* service, const Request& request);
+  std::span<const BackendId> Tried(const Request& request) const;
+  Service* FindService(ServiceId service);
+  const Service* FindService(ServiceId service) const;
+
+  // Attempts; dispatch_attempt.cc.
+  void StartAttempt(TimePoint now,
+                    RequestHandle handle,
+                    Request* request,
+                    const Choice& choice);
+  void EndAttempt(TimePoint now,
+                  AttemptHandle handle,
+                  const Attempt& attempt,
+                  const AttemptReport& report);
+  void BookEnd(TimePoint now,
+               const Attempt& attempt,
+               const AttemptReport& report);
+  void LearnFrom(TimePoint now, const Attempt& attempt);
+  void ContinueRequest(TimePoint now,
+                       AttemptHandle ended,
+                       const Attempt& attempt,
+                       const AttemptReport& report);
+  void ResendOrReject(TimePoint now,
+                      RequestHandle handle,
+                      Request* request,
+                      AttemptEvent event);
+  void Deliver(RequestHandle handle, Request* request, AttemptHandle attempt);
+  void CancelOpen(const Request& request, AttemptHandle except);
+  void TryHedge(TimePoint now, RequestHandle handle, Request* request);
+
+  // Ends and timers; dispatch_core.cc.
+  void Reject(RequestHandle handle,
+              Request* request,
+              RejectReason reason,
+              Duration retry_after);
+  void Schedule(RequestHandle handle, Request* request);
+  void RunTimers(TimePoint now);
+  void OnDue(TimePoint now, RequestHandle handle, Request* request);
+  void RunInterval(TimePoint now);
+  void ReclassifyRunning(TimePoint now);
+  void SendProbes(TimePoint now);
+  Duration ProbeInterval(const Backend& backend) const;
+  // True while a backend server is eased out or suspect.
+  bool Unsettled() const;
+  uint32_t ConnectionBudget(size_t service) const;
+  void RebuildPools();
+  void MarkRebuild(ServiceId service);
+
+  DispatcherInit init_;
+  RetryBudget retry_budget_;
+  RetryBudget hedge_budget_;
+  DurationLearner learner_;
+  std::vector<Backend> backends_;
+  std::vector<Service> services_;
+  Slab<Request, RequestHandle> requests_;
+  Slab<Attempt, AttemptHandle> attempts_;
+  std::vector<Timer> timers_;
+  std::deque<Action> actions_;
+  TimePoint next_interval_;
+  PeerPlace peers_;
+  bool admitting_ = true;
+  bool rebuild_ = false;
+  uint32_t queued_ = 0;
+  DispatcherStats stats_;
+};
+
+}  // namespace comfreystand::steer
+
+#endif  // COMFREYSTAND_SRC_STEER_DISPATCH_CORE_H_
