--- a/include/comfreystand/limits.h
+++ b/include/comfreystand/limits.h
@@ -25,6 +25,20 @@
 constexpr double kDefaultCapShare = 0.10;
 constexpr std::chrono::seconds kDefaultCapRamp = 60s;
 
+// Dispatch.
+constexpr size_t kMaxServices = 256;
+constexpr size_t kMaxBackends = 16'384;
+constexpr size_t kLearnedDurations = 4'096;
+constexpr size_t kMaxTrackedCallers = 8'192;
+constexpr std::chrono::milliseconds kBalanceInterval = 50ms;
+constexpr std::chrono::milliseconds kMinRetryAfter = 100ms;
+constexpr std::chrono::seconds kMaxRetryAfter = 30s;
+
+// Tickets.
+constexpr size_t kMaxTicketBytes = 128;
+constexpr size_t kTicketsPerWindow = 4'096;
+constexpr size_t kMaxTicketWindows = 1'024;
+
 // Edge.
 constexpr size_t kMaxRequestHeaderBytes = 16'384;
 constexpr size_t kMaxRequestBodyBytes = size_t{8} << 20;
