Acceptance by compare-and-swap with an audit trail; fakes in virtual time

Cause: a change must be accepted once, resolved after a lost answer and never missing from the trail. The document carries its audit entries until the trail has acknowledged them.

--- a/include/comfreystand/limits.h
+++ b/include/comfreystand/limits.h
@@ -25,6 +25,36 @@
 constexpr std::chrono::milliseconds kStoreCallTimeout = 2'000ms;
 constexpr std::chrono::milliseconds kStoreWatchTimeout = 30'000ms;
 
+// Acceptance.
+constexpr size_t kMaxChangeIdBytes = 128;
+constexpr size_t kMaxAuditSegmentBytes = 512 * 1024;
+constexpr size_t kAuditEntriesPerSegment = 16;
+// Unconfirmed entries that the document gathers before they are dropped.
+constexpr size_t kAuditDropEntries = 8;
+constexpr size_t kAuditDropBytes = 64 * 1024;
+constexpr std::chrono::hours kAuditRetention = 24h * 800;
+
+// Member.
+constexpr std::chrono::milliseconds kHeartbeatPeriod = 1'000ms;
+// Silence after which a member counts as dead.
+constexpr std::chrono::milliseconds kMemberTimeout = 7'000ms;
+// Age after which another failure domain's summary counts as lost.
+constexpr std::chrono::milliseconds kSummaryTimeout = 15'000ms;
+// Time that dead members are remembered, so that late messages are ignored.
+constexpr std::chrono::minutes kDeadRetention = 10min;
+constexpr size_t kMaxDomainMembers = 256;
+constexpr size_t kMaxDomains = 128;
+constexpr size_t kMaxSiteLoads = 256;
+constexpr size_t kMaxLeavingBackends = 4'096;
+constexpr std::chrono::hours kLeavingRetention = 6h;
+constexpr std::chrono::milliseconds kSummaryPeriod = 2'000ms;
+constexpr std::chrono::milliseconds kLoadPeriod = 5'000ms;
+
+// Hours.
+constexpr std::chrono::hours kHourUnstoredRetention = 72h;
+constexpr std::chrono::hours kHourStoredRetention = 24h * 800;
+constexpr size_t kMaxHourRecords = 65'536;
+
 // Peer.
 constexpr size_t kMaxPeerMessageBytes = 2 * 1024 * 1024;
 constexpr std::chrono::milliseconds kPeerCallTimeout = 1'000ms;
--- /dev/null
+++ b/tests/support/fake_network.cc
@@ -0,0 +1,119 @@
+#include "tests/support/fake_network.h"
+
+#include <utility>
+
+#include "comfreystand/limits.h"
+
+namespace comfreystand::testing {
+namespace {
+
+// A call that is under way: settled by its reply or its timeout.
+struct PendingCall {
+  peer::ReplyCallback done;
+  bool settled = false;
+
+  void Settle(bool ok, const wire::Envelope& reply) {
+    if (!settled) {
+      settled = true;
+      done(ok, reply);
+    }
+  }
+};
+
+}  // namespace
+
+class FakeTransport final : public peer::Transport {
+ public:
+  FakeTransport(FakeNetwork& network, NodeLoop& node, std::string address)
+      : network_(network), node_(node), address_(std::move(address)) {}
+
+  void Call(const std::string& address,
+            const wire::Envelope& request,
+            peer::ReplyCallback done) override {
+    auto call = std::make_shared<PendingCall>();
+    call->done = std::move(done);
+    node_.PostDelayed(limits::kPeerCallTimeout,
+                      [call] { call->Settle(false, {}); });
+    ++network_.counts[address_].calls;
+    const std::string bytes = request.SerializeAsString();
+    FakeNetwork& network = network_;
+    NodeLoop* caller = &node_;
+    network_.Deliver(
+        address_, address, bytes.size(),
+        [&network, caller, call, from = address_, to = address, bytes] {
+          network.Arrive(
+              to, bytes,
+              [&network, caller, call, from, to](const std::string& reply) {
+                network.Deliver(to, from, reply.size(), [caller, call, reply] {
+                  caller->PostDelayed(Duration{0}, [call, reply] {
+                    wire::Envelope parsed;
+                    const bool ok = parsed.ParseFromString(reply);
+                    call->Settle(ok, parsed);
+                  });
+                });
+              });
+        });
+  }
+
+ private:
+  FakeNetwork& network_;
+  NodeLoop& node_;
+  std::string address_;
+};
+
+std::unique_ptr<peer::Transport> FakeNetwork::Client(NodeLoop& node,
+                                                     std::string address) {
+  return std::make_unique<FakeTransport>(*this, node, std::move(address));
+}
+
+void FakeNetwork::Listen(const std::string& address,
+                         NodeLoop& node,
+                         peer::Handler handler) {
+  listeners_[address] = {&node, std::move(handler), next_serial_++};
+}
+
+void FakeNetwork::Close(const std::string& address) {
+  listeners_.erase(address);
+}
+
+void FakeNetwork::Deliver(const std::string& from,
+                          const std::string& to,
+                          size_t bytes,
+                          const std::function<void()>& arrive) {
+  TrafficCounts& sender = counts[from];
+  sender.bytes_sent += bytes;
+  ++sender.messages_sent;
+  if ((is_cut && is_cut(from, to)) || loop_.Unit() < faults.loss) {
+    return;
+  }
+  counts[to].bytes_received += bytes;
+  const Duration late =
+      loop_.Unit() < faults.late ? faults.late_delay : Duration{0};
+  loop_.PostDelayed(faults.latency + late, arrive);
+  if (loop_.Unit() < faults.duplicate) {
+    loop_.PostDelayed(faults.latency * 2 + late, arrive);
+  }
+}
+
+void FakeNetwork::Arrive(const std::string& to,
+                         const std::string& bytes,
+                         std::function<void(const std::string& reply)> answer) {
+  const auto it = listeners_.find(to);
+  if (it == listeners_.end() || !it->second.node->IsAlive()) {
+    return;
+  }
+  const uint64_t serial = it->second.serial;
+  it->second.node->PostDelayed(
+      Duration{0}, [this, to, serial, bytes, answer = std::move(answer)] {
+        const auto listener = listeners_.find(to);
+        if (listener == listeners_.end() || listener->second.serial != serial) {
+          return;
+        }
+        wire::Envelope request;
+        if (request.ParseFromString(bytes)) {
+          answer(listener->second.handler(request).SerializeAsString());
+        }
+      });
+}
+
+}  // namespace comfreystand::testing
--- /dev/null
+++ b/tests/support/tiny_codec.h
@@ -0,0 +1,63 @@
+#ifndef COMFREYSTAND_TESTS_SUPPORT_TINY_CODEC_H_
+#define COMFREYSTAND_TESTS_SUPPORT_TINY_CODEC_H_
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "comfreystand/acceptance.h"
+
+namespace comfreystand::testing {
+
+// Documents as JSON, and rule files of any text but "bad": enough for tests
+// that are not about rules.
+inline std::string EncodeTiny(const RuleDocument& document) {
+  nlohmann::json value{{"v", document.version.value},
+                       {"t", document.text},
+                       {"bv", document.baseline_version.value},
+                       {"bt", document.baseline_text},
+                       {"h", document.halted}};
+  value["u"] = platform::EncodeAuditSegment(document.unconfirmed);
+  return value.dump();
+}
+
+inline std::optional<RuleDocument> DecodeTiny(std::string_view bytes) {
+  const auto value = nlohmann::json::parse(bytes, nullptr, false);
+  if (!value.is_object()) {
+    return std::nullopt;
+  }
+  RuleDocument document;
+  document.version.value = value.value("v", uint64_t{0});
+  document.text = value.value("t", "");
+  document.baseline_version.value = value.value("bv", uint64_t{0});
+  document.baseline_text = value.value("bt", "");
+  document.halted = value.value("h", false);
+  platform::DecodeAuditSegment(value.value("u", "[]"), &document.unconfirmed);
+  return document;
+}
+
+inline RuleParseResult ParseTiny(std::string_view text) {
+  RuleParseResult result;
+  if (text == "bad") {
+    result.errors.push_back({1, 1, "unknown word", "a rule", ""});
+  }
+  return result;
+}
+
+inline std::string DiffTiny(std::string_view before, std::string_view after) {
+  return "-" + std::string(before) + "\n+" + std::string(after) + "\n";
+}
+
+inline platform::DocumentCodec TinyCodec() {
+  platform::DocumentCodec codec;
+  codec.encode = &EncodeTiny;
+  codec.decode = &DecodeTiny;
+  codec.parse = &ParseTiny;
+  codec.diff = &DiffTiny;
+  return codec;
+}
+
+}  // namespace comfreystand::testing
+
+#endif  // COMFREYSTAND_TESTS_SUPPORT_TINY_CODEC_H_
