--- a/tests/acceptance_test.cc
+++ b/tests/acceptance_test.cc
@@ -2,22 +2,22 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <optional>
 
 #include "comfreystand/limits.h"
 #include "tests/support/fake_store.h"
 #include "tests/support/tiny_codec.h"
 
-using namespace comfreystand;
-using namespace comfreystand::platform;
-using namespace std::chrono_literals;
-using comfreystand::testing::FakeStore;
-using comfreystand::testing::NodeLoop;
-using comfreystand::testing::StoreFaults;
-using comfreystand::testing::VirtualLoop;
-
+namespace comfreystand::platform {
 namespace {
 
+using std::chrono_literals::operator""s;
+using testing::FakeStore;
+using testing::NodeLoop;
+using testing::StoreFaults;
+using testing::VirtualLoop;
+
 // A proposing process on its own loop.
 struct Proposer {
   Proposer(VirtualLoop& base, FakeStore& store, uint64_t seed)
@@ -253,3 +253,5 @@
     CHECK(Stored(store).unconfirmed.size() <= limits::kAuditDropEntries);
   }
 }
+
+}  // namespace comfreystand::platform
