--- a/include/comfreystand/limits.h
+++ b/include/comfreystand/limits.h
@@ -29,6 +29,29 @@
 constexpr size_t kMaxPeerMessageBytes = 2 * 1024 * 1024;
 constexpr std::chrono::milliseconds kPeerCallTimeout = 1'000ms;
 
+// Look-up.
+constexpr size_t kMaxBlocks = 4'000'000;
+constexpr size_t kMaxSites = 4'096;
+constexpr size_t kMaxOrders = 65'535;
+constexpr size_t kMaxOrderSites = 8;
+constexpr size_t kMaxDeltaOrders = 4'096;
+// Length of the client prefix that is steered as one unit.
+constexpr int kUnitBitsIpv4 = 24;
+constexpr int kUnitBitsIpv6 = 48;
+constexpr std::chrono::seconds kAnswerTtl = 30s;
+constexpr std::chrono::seconds kAnswerTtlInChange = 5s;
+
+// Changes.
+// Period over which moved and total traffic are compared.
+constexpr std::chrono::seconds kCapPeriod = 5s;
+// Share of one period's allowed moves that may be saved up, and that the
+// allowance is kept below the cap by.
+constexpr double kCapCreditShare = 0.05;
+// The share of units that move is raised by a step a period while moved
+// traffic is below this share of the cap.
+constexpr double kCapRaiseBelow = 0.8;
+constexpr double kCapRaiseStep = 0.01;
+
 }  // namespace comfreystand::limits
 
 #endif  // COMFREYSTAND_LIMITS_H_
