Rank each nearness order once per state, and index the blocks by key range

Profiles showed two causes for 1.3 million answers a second: page walks and dependent cache misses in the search, and ranking eight sites per look-up. Blocks now lie in huge pages behind a direct index, and arrangements are cached per order until a state changes.

--- a/include/comfreystand/steer/lookup.h
+++ b/include/comfreystand/steer/lookup.h
@@ -113,6 +113,7 @@
   OrderId Find(const ClientAddress& client) const;
 
   const NearnessOrder& Order(OrderId order) const;
+  size_t OrderCount() const;
   const std::vector<std::string>& Sites() const;
   uint64_t Version() const;
   size_t BlockCount() const;
--- a/src/steer/lookup_policy.cc
+++ b/src/steer/lookup_policy.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
 
 namespace comfreystand::steer {
 namespace {
@@ -33,6 +32,14 @@
   return false;
 }
 
+// Mixes a site's salt into a unit's hash (the finalizer of MurmurHash3).
+uint64_t MixHash(uint64_t unit_hash, uint64_t salt) {
+  uint64_t hash = unit_hash ^ salt;
+  hash = (hash ^ (hash >> 33)) * 0xff51afd7ed558ccd;
+  hash = (hash ^ (hash >> 33)) * 0xc4ceb9fe1a85ec53;
+  return hash ^ (hash >> 33);
+}
+
 double UnitPoint(uint64_t unit, uint64_t salt) {
   return HashToUnit(StableHash(unit, salt));
 }
@@ -64,7 +71,7 @@
     Site& site = sites_[id.value];
     site.exists = true;
     site.region = rules.domains[rule.domain.value].region.value;
-    site.weight = rule.weight;
+    site.inverse_weight = static_cast<float>(1 / rule.weight);
     site.salt = StableHash(rule.name);
     site.drained = std::any_of(
         rules.drains.begin(), rules.drains.end(),
@@ -103,12 +110,14 @@
   SiteId site;
   Standing standing = Standing::kDead;
   uint8_t tier = 0;
-  double score = 0;
 
-  // True when this one is listed before `other`.
+  bool EqualTo(const Ranked& other) const {
+    return standing == other.standing && tier == other.tier;
+  }
+  // True when this one is listed before `other`, whatever the unit.
   bool Before(const Ranked& other) const {
-    return std::tie(standing, tier, other.score) <
-           std::tie(other.standing, other.tier, score);
+    return standing != other.standing ? standing < other.standing
+                                      : tier < other.tier;
   }
 };
 
@@ -120,13 +129,9 @@
   const SiteGate& gate = gates[candidate.site.value];
   Ranked ranked;
   ranked.site = candidate.site;
-  ranked.tier = static_cast<uint8_t>(candidate.tier + 1);
-  if (target_region == site.region) {
-    ranked.tier = 0;
-  }
-  // Weighted rendezvous: a site that goes away moves only its own clients.
-  const double point = UnitPoint(unit, site.salt);
-  ranked.score = equal_weights_ ? point : -site.weight / std::log(point);
+  ranked.tier = target_region == site.region
+                    ? 0
+                    : static_cast<uint8_t>(candidate.tier + 1);
   if (!gate.live) {
     ranked.standing = Standing::kDead;
   } else if (site.drained || gate.leaving) {
@@ -140,7 +145,42 @@
   return ranked;
 }
 
-int SitePolicy::TargetRegion(const CandidateList& near, uint64_t unit) const {
+// Weighted rendezvous: a site that goes away moves only its own clients.
+float SitePolicy::Score(SiteId id, uint64_t unit_hash) const {
+  const Site& site = sites_[id.value];
+  const auto point =
+      static_cast<float>(HashToUnit(MixHash(unit_hash, site.salt)));
+  return equal_weights_ ? point : std::log(point) * site.inverse_weight;
+}
+
+void SitePolicy::OrderEqual(SiteId* run,
+                            size_t count,
+                            uint64_t unit_hash) const {
+  if (count == 2) {
+    const std::array<SiteId, 2> pair = {run[0], run[1]};
+    const bool swap = Score(pair[1], unit_hash) > Score(pair[0], unit_hash);
+    run[0] = pair[swap ? 1 : 0];
+    run[1] = pair[swap ? 0 : 1];
+    return;
+  }
+  std::array<float, limits::kMaxOrderSites> scores{};
+  for (size_t i = 0; i < count; ++i) {
+    const SiteId site = run[i];
+    const float score = Score(site, unit_hash);
+    size_t place = i;
+    while (place > 0 && score > scores[place - 1]) {
+      scores[place] = scores[place - 1];
+      run[place] = run[place - 1];
+      --place;
+    }
+    scores[place] = score;
+    run[place] = site;
+  }
+}
+
+int SitePolicy::TargetRegion(const CandidateList& near,
+                             uint64_t unit,
+                             bool* shared) const {
   for (uint8_t i = 0; i < near.count; ++i) {
     const size_t site = near.items[i].site.value;
     if (site >= sites_.size() || !sites_[site].exists) {
@@ -150,6 +190,7 @@
     if (row.empty()) {
       return kNoTarget;
     }
+    *shared = true;
     const double point = UnitPoint(unit, kSharePoint);
     for (const Share& share : row) {
       if (point < share.end) {
@@ -161,35 +202,63 @@
   return kNoTarget;
 }
 
-LookupAnswer SitePolicy::Choose(const CandidateList& near,
+Arrangement SitePolicy::Arrange(const CandidateList& near,
                                 uint64_t unit,
-                                const std::vector<SiteGate>& gates,
-                                bool* last_resort) const {
-  const int target = TargetRegion(near, unit);
-  std::array<Ranked, limits::kMaxOrderSites> ranked;
-  size_t count = 0;
+                                const std::vector<SiteGate>& gates) const {
+  Arrangement result;
+  bool shared = false;
+  const int target = TargetRegion(near, unit, &shared);
+  result.reusable = !shared;
+  std::array<Ranked, limits::kMaxOrderSites> ranked{};
   for (uint8_t i = 0; i < near.count; ++i) {
     const Candidate& candidate = near.items[i];
     if (candidate.site.value >= sites_.size() ||
         !sites_[candidate.site.value].exists) {
       continue;
     }
+    result.reusable &= gates[candidate.site.value].admit >= 1;
     const Ranked entry = Rank(candidate, target, unit, gates);
-    size_t place = count++;
+    size_t place = result.count++;
     while (place > 0 && entry.Before(ranked[place - 1])) {
       ranked[place] = ranked[place - 1];
       --place;
     }
     ranked[place] = entry;
   }
-  LookupAnswer answer;
-  *last_resort = count == 0 || ranked[0].standing >= Standing::kDraining;
-  for (size_t i = 0; i < std::min(count, kMaxAnswerSites); ++i) {
-    if (!*last_resort && ranked[i].standing >= Standing::kDraining) {
-      break;
+  result.last_resort =
+      result.count == 0 || ranked[0].standing >= Standing::kDraining;
+  if (!result.last_resort) {
+    while (ranked[result.count - 1].standing >= Standing::kDraining) {
+      --result.count;
+    }
+  }
+  for (size_t i = 0; i < result.count; ++i) {
+    result.sites[i] = ranked[i].site;
+    const bool tie = i > 0 && ranked[i].EqualTo(ranked[i - 1]);
+    result.ties |= static_cast<uint8_t>(tie ? 1U << i : 0);
+  }
+  return result;
+}
+
+LookupAnswer SitePolicy::Choose(const Arrangement& arrangement,
+                                uint64_t unit) const {
+  const size_t count = arrangement.count;
+  std::array<SiteId, limits::kMaxOrderSites> sites = arrangement.sites;
+  const uint64_t unit_hash = StableHash(unit, 0);
+  size_t begin = 0;
+  while (begin < std::min(count, kMaxAnswerSites)) {
+    size_t end = begin + 1;
+    while ((arrangement.ties >> end & 1) != 0) {
+      ++end;
     }
-    answer.sites[answer.count++] = ranked[i].site;
+    if (end - begin > 1) {
+      OrderEqual(&sites[begin], end - begin, unit_hash);
+    }
+    begin = end;
   }
+  LookupAnswer answer;
+  answer.count = static_cast<uint8_t>(std::min(count, kMaxAnswerSites));
+  std::copy_n(sites.begin(), answer.sites.size(), answer.sites.begin());
   return answer;
 }
 
--- a/src/steer/lookup_policy.h
+++ b/src/steer/lookup_policy.h
@@ -43,6 +43,19 @@
   uint8_t count = 0;
 };
 
+// Sites of one order as the rules and the sites' states rank them; equally
+// good ones are still to be ordered per client unit.
+struct Arrangement {
+  std::array<SiteId, limits::kMaxOrderSites> sites{};
+  // Bit i: site i is as good as site i-1.
+  uint8_t ties = 0;
+  uint8_t count = 0;
+  // Only dead or drained sites were left.
+  bool last_resort = true;
+  // The same for every client unit, as long as no state changes.
+  bool reusable = true;
+};
+
 // One rule set's view of the sites: which exist, which are drained, how
 // traffic is shared between regions.
 class SitePolicy {
@@ -53,12 +66,13 @@
   // block: its region's sites first.
   CandidateList NearDomain(const std::string& domain) const;
 
-  // Chooses and orders up to kMaxAnswerSites. `gates` index all site names.
-  // Sets `*last_resort` when only dead or drained sites were left.
-  LookupAnswer Choose(const CandidateList& near,
+  // Ranks the sites of an order for a client unit. `gates` index all names.
+  Arrangement Arrange(const CandidateList& near,
                       uint64_t unit,
-                      const std::vector<SiteGate>& gates,
-                      bool* last_resort) const;
+                      const std::vector<SiteGate>& gates) const;
+
+  // Lists up to kMaxAnswerSites of an arrangement, best first.
+  LookupAnswer Choose(const Arrangement& arrangement, uint64_t unit) const;
 
   bool HasDrain() const { return has_drain_; }
 
@@ -67,7 +81,7 @@
     bool exists = false;
     bool drained = false;
     uint16_t region = 0;
-    double weight = 1;
+    float inverse_weight = 1;
     // Hash of the name, which outlasts renumbering.
     uint64_t salt = 0;
   };
@@ -82,7 +96,11 @@
               int target_region,
               uint64_t unit,
               const std::vector<SiteGate>& gates) const;
-  int TargetRegion(const CandidateList& near, uint64_t unit) const;
+  float Score(SiteId site, uint64_t unit_hash) const;
+  void OrderEqual(SiteId* run, size_t count, uint64_t unit_hash) const;
+  int TargetRegion(const CandidateList& near,
+                   uint64_t unit,
+                   bool* shared) const;
 
   std::vector<Site> sites_;
   std::vector<std::vector<Share>> shares_;
--- a/src/steer/lookup_prefix_map.h
+++ b/src/steer/lookup_prefix_map.h
@@ -1,108 +1,117 @@
 #ifndef COMFREYSTAND_STEER_LOOKUP_PREFIX_MAP_H_
 #define COMFREYSTAND_STEER_LOOKUP_PREFIX_MAP_H_
 
+#include <algorithm>
+#include <bit>
 #include <cstddef>
 #include <cstdint>
 #include <limits>
 #include <vector>
 
+#include "src/steer/lookup_huge_page.h"
+
 namespace comfreystand::steer {
 
 // Longest-prefix match over keys of one width. Prefixes are appended in order
-// of start and length; columns are kept apart so that a search touches only
-// the starts. A sample of every 64th start narrows the search to one window.
+// of start and length; an index over equal ranges of keys narrows the search
+// to a few neighbouring entries.
 template <typename Key>
 class PrefixMap {
  public:
   static constexpr uint32_t kNone = std::numeric_limits<uint32_t>::max();
   static constexpr int kKeyBits = std::numeric_limits<Key>::digits;
-  static constexpr size_t kSampleEvery = 64;
-
-  size_t Size() const { return starts_.size(); }
-  Key Start(size_t index) const { return starts_[index]; }
-  uint8_t Bits(size_t index) const { return bits_[index]; }
-  uint16_t Value(size_t index) const { return values_[index]; }
-
-  void Reserve(size_t count) {
-    starts_.reserve(count);
-    bits_.reserve(count);
-    values_.reserve(count);
-    parents_.reserve(count);
-    samples_.reserve(count / kSampleEvery + 1);
+  static constexpr int kIndexBits = kKeyBits == 32 ? 18 : 17;
+  static constexpr size_t kSlots = size_t{1} << kIndexBits;
+
+  size_t Size() const { return entries_.size(); }
+  Key Start(size_t index) const { return entries_[index].start; }
+  uint8_t Bits(size_t index) const { return entries_[index].bits; }
+  uint16_t Value(size_t index) const { return entries_[index].value; }
+
+  // Prepares for up to `count` prefixes that start in [first, last].
+  void Reserve(size_t count, Key first, Key last) {
+    entries_.reserve(count);
+    first_ = first;
+    const auto width = static_cast<int>(std::bit_width(Key(last - first)));
+    shift_ = std::max(0, width - kIndexBits);
+    slots_.assign(kSlots, 0);
   }
 
   // Appends a prefix that sorts after all earlier ones.
   void Append(Key start, uint8_t bits, uint16_t value) {
-    uint32_t parent = Size() == 0 ? kNone : static_cast<uint32_t>(Size() - 1);
-    parent = Enclosing(parent, start);
-    if (Size() % kSampleEvery == 0) {
-      samples_.push_back(start);
+    const auto index = static_cast<uint32_t>(Size());
+    for (const size_t slot = Slot(start); next_slot_ <= slot; ++next_slot_) {
+      slots_[next_slot_] = index;
     }
-    starts_.push_back(start);
-    bits_.push_back(bits);
-    values_.push_back(value);
-    parents_.push_back(parent);
+    const uint32_t parent = index == 0 ? kNone : Enclosing(index - 1, start);
+    entries_.push_back({start, parent, value, bits});
   }
 
   // Index of the longest prefix that holds `key`, or kNone.
   uint32_t Find(Key key) const {
-    const size_t sample = CountUpTo(samples_.data(), samples_.size(), key);
-    if (sample == 0) {
+    if (entries_.empty() || key < first_) {
       return kNone;
     }
-    const size_t first = (sample - 1) * kSampleEvery;
-    const size_t length =
-        Size() - first < kSampleEvery ? Size() - first : kSampleEvery;
-    const size_t count = CountUpTo(starts_.data() + first, length, key);
-    return Enclosing(static_cast<uint32_t>(first + count - 1), key);
+    const size_t slot = Slot(key);
+    const size_t begin = slot < next_slot_ ? slots_[slot] : Size();
+    const size_t end = slot + 1 < next_slot_ ? slots_[slot + 1] : Size();
+    const size_t count = begin + CountUpTo(begin, end - begin, key);
+    return count == 0 ? kNone
+                      : Enclosing(static_cast<uint32_t>(count - 1), key);
   }
 
   size_t MemoryUse() const {
-    return starts_.capacity() * sizeof(Key) + bits_.capacity() +
-           values_.capacity() * sizeof(uint16_t) +
-           parents_.capacity() * sizeof(uint32_t) +
-           samples_.capacity() * sizeof(Key);
+    return HugePageAllocator<Entry>::Footprint(entries_.capacity()) +
+           slots_.capacity() * sizeof(uint32_t);
   }
 
-  void ShrinkToFit() {
-    starts_.shrink_to_fit();
-    bits_.shrink_to_fit();
-    values_.shrink_to_fit();
-    parents_.shrink_to_fit();
-    samples_.shrink_to_fit();
+ private:
+  struct Entry {
+    Key start = 0;
+    // The next shorter prefix that holds this one, or kNone.
+    uint32_t parent = kNone;
+    uint16_t value = 0;
+    uint8_t bits = 0;
+  };
+
+  size_t Slot(Key key) const {
+    const auto slot = static_cast<size_t>(Key(key - first_) >> shift_);
+    return std::min(slot, kSlots - 1);
   }
 
- private:
-  // How many of the ascending `keys` are not greater than `key`.
-  static size_t CountUpTo(const Key* keys, size_t count, Key key) {
-    const Key* base = keys;
+  // How many of `count` entries from `begin` start at or before `key`.
+  size_t CountUpTo(size_t begin, size_t count, Key key) const {
+    const Entry* const first = entries_.data() + begin;
+    const Entry* base = first;
     while (count > 1) {
       const size_t half = count / 2;
-      base += base[half - 1] <= key ? half : 0;
+      base += base[half - 1].start <= key ? half : 0;
       count -= half;
     }
-    return static_cast<size_t>(base - keys) +
-           (count == 1 && *base <= key ? 1 : 0);
+    return static_cast<size_t>(base - first) +
+           (count == 1 && base->start <= key ? 1 : 0);
   }
 
-  bool Holds(uint32_t index, Key key) const {
-    const uint8_t bits = bits_[index];
-    return bits == 0 || ((starts_[index] ^ key) >> (kKeyBits - bits)) == 0;
+  static bool Holds(const Entry& entry, Key key) {
+    return entry.bits == 0 ||
+           ((entry.start ^ key) >> (kKeyBits - entry.bits)) == 0;
   }
 
   // The first of `index` and its ancestors that holds `key`.
   uint32_t Enclosing(uint32_t index, Key key) const {
-    while (index != kNone && !Holds(index, key)) {
-      index = parents_[index];
+    while (index != kNone && !Holds(entries_[index], key)) {
+      index = entries_[index].parent;
     }
     return index;
   }
 
-  std::vector<Key> starts_;
-  std::vector<uint8_t> bits_;
-  std::vector<uint16_t> values_;
-  std::vector<uint32_t> parents_;
-  std::vector<Key> samples_;
+  std::vector<Entry, HugePageAllocator<Entry>> entries_;
+  Key first_ = 0;
+  int shift_ = 0;
+  // First prefix at or after the begin of each range of keys; the last ones
+  // are not set until a prefix reaches them.
+  std::vector<uint32_t> slots_;
+  size_t next_slot_ = 0;
 };
 
 }  // namespace comfreystand::steer
--- a/src/steer/lookup_site.cc
+++ b/src/steer/lookup_site.cc
@@ -7,24 +7,45 @@
 
 namespace comfreystand::steer {
 
+namespace {
+
+// A rule set in force, with what it makes of each order so far.
+struct PolicyView {
+  PolicyView(const RuleSet& rules, const std::string& domain, SiteNames* names)
+      : policy(rules, names), near(policy.NearDomain(domain)) {}
+
+  struct Cached {
+    uint32_t epoch = 0;
+    Arrangement arrangement;
+  };
+
+  SitePolicy policy;
+  // For clients in no block.
+  CandidateList near;
+  std::vector<Cached> cache;
+};
+
+}  // namespace
+
 struct SiteLookup::State {
   SiteLookupInit init;
   SiteNames names;
-  std::optional<SitePolicy> current;
-  std::optional<SitePolicy> baseline;
+  std::optional<PolicyView> current;
+  std::optional<PolicyView> baseline;
   ChangeGate* gate = nullptr;
-  CandidateList near_current;
-  CandidateList near_baseline;
   std::shared_ptr<const BlockTable> blocks;
   // The table's site numbers to site handles.
   std::vector<SiteId> table_sites;
   std::vector<SiteGate> gates;
   std::map<std::string, SiteState> states;
-  bool leaving = false;
+  // Cached arrangements of other epochs are out of date.
+  uint32_t epoch = 0;
+  bool in_change = false;
   LookupStats stats;
 
-  // Brings what depends on names up to date after any of them changed.
+  // Brings what depends on names and states up to date.
   void Bind() {
+    ++epoch;
     table_sites.clear();
     if (blocks) {
       for (const std::string& site : blocks->Sites()) {
@@ -32,64 +53,82 @@
       }
     }
     gates.assign(names.Size(), SiteGate());
-    leaving = false;
+    in_change = baseline || (current && current->policy.HasDrain());
     for (const auto& [name, state] : states) {
       const SiteId site = names.Find(name);
       if (site.IsValid()) {
         gates[site.value] = {state.live, state.leaving, state.admit.value};
-        leaving |= state.leaving;
+        in_change |= state.leaving;
       }
     }
+    ResizeCache(&current);
+    ResizeCache(&baseline);
   }
 
-  bool FindOrder(const ClientAddress& client, CandidateList* list) const {
-    const OrderId id = blocks ? blocks->Find(client) : OrderId();
-    if (!id.IsValid()) {
-      return false;
+  void ResizeCache(std::optional<PolicyView>* view) const {
+    if (*view) {
+      (*view)->cache.resize(blocks ? blocks->OrderCount() : 0);
     }
+  }
+
+  CandidateList Candidates(OrderId id) const {
+    CandidateList list;
     const NearnessOrder& order = blocks->Order(id);
     for (uint8_t i = 0; i < order.count; ++i) {
       const SiteId site = table_sites[order.sites[i]];
       if (site.IsValid()) {
-        list->items[list->count++] = {site, order.tiers[i]};
+        list.items[list.count++] = {site, order.tiers[i]};
       }
     }
-    return list->count > 0;
+    return list;
   }
 
-  // Applies one rule set; falls back to the sites near this node when none of
-  // the client's own can serve.
-  LookupAnswer Choose(const SitePolicy& policy,
-                      const CandidateList& order,
-                      const CandidateList& near,
+  // Ranks an order's sites, or those near this node for an invalid order or
+  // when none of the order's own can serve.
+  Arrangement Arrange(const PolicyView& view,
+                      OrderId order,
+                      uint64_t unit) const {
+    if (!order.IsValid()) {
+      return view.policy.Arrange(view.near, unit, gates);
+    }
+    const Arrangement own = view.policy.Arrange(Candidates(order), unit, gates);
+    if (!own.last_resort) {
+      return own;
+    }
+    Arrangement near = view.policy.Arrange(view.near, unit, gates);
+    near.reusable &= own.reusable;
+    return near.last_resort && own.count > 0 ? own : near;
+  }
+
+  LookupAnswer Choose(PolicyView* view,
+                      OrderId order,
                       uint64_t unit,
                       bool* last_resort) const {
-    LookupAnswer answer = policy.Choose(order, unit, gates, last_resort);
-    if (!*last_resort) {
-      return answer;
+    if (!order.IsValid()) {
+      const Arrangement near = Arrange(*view, order, unit);
+      *last_resort = near.last_resort;
+      return view->policy.Choose(near, unit);
     }
-    bool near_last_resort = false;
-    const LookupAnswer other =
-        policy.Choose(near, unit, gates, &near_last_resort);
-    if (!near_last_resort || answer.count == 0) {
-      *last_resort = near_last_resort;
-      return other;
+    PolicyView::Cached& cached = view->cache[order.value];
+    if (cached.epoch != epoch || !cached.arrangement.reusable) {
+      cached.arrangement = Arrange(*view, order, unit);
+      cached.epoch = epoch;
     }
-    return answer;
+    *last_resort = cached.arrangement.last_resort;
+    return view->policy.Choose(cached.arrangement, unit);
   }
 
-  LookupAnswer ChooseInChange(const CandidateList* order,
+  LookupAnswer ChooseInChange(OrderId order,
                               uint64_t unit,
                               TimePoint now,
                               bool* last_resort) {
     bool stays_last_resort = false;
-    const LookupAnswer moved = Choose(*current, order ? *order : near_current,
-                                      near_current, unit, last_resort);
-    const LookupAnswer stays = Choose(*baseline, order ? *order : near_baseline,
-                                      near_baseline, unit, &stays_last_resort);
+    const LookupAnswer moved = Choose(&*current, order, unit, last_resort);
+    const LookupAnswer stays =
+        Choose(&*baseline, order, unit, &stays_last_resort);
     const bool differs = moved.sites != stays.sites;
     if (gate->Admit(unit, differs, now)) {
-      stats.moved += differs ? 1 : 0;
+      ++stats.moved;
       return moved;
     }
     *last_resort = stays_last_resort;
@@ -107,10 +146,9 @@
 void SiteLookup::SetRules(const RuleSet& rules) {
   State& state = *state_;
   state.names = SiteNames();
-  state.current.emplace(rules, &state.names);
+  state.current.emplace(rules, state.init.domain, &state.names);
   state.baseline.reset();
   state.gate = nullptr;
-  state.near_current = state.current->NearDomain(state.init.domain);
   state.Bind();
 }
 
@@ -119,8 +157,7 @@
                            ChangeGate* gate) {
   State& state = *state_;
   SetRules(current);
-  state.baseline.emplace(baseline, &state.names);
-  state.near_baseline = state.baseline->NearDomain(state.init.domain);
+  state.baseline.emplace(baseline, state.init.domain, &state.names);
   state.gate = gate;
   state.Bind();
 }
@@ -143,21 +180,16 @@
     return answer;
   }
   const uint64_t unit = ClientUnit(client);
-  CandidateList list;
-  const bool known = state.FindOrder(client, &list);
-  state.stats.unknown_clients += known ? 0 : 1;
+  const OrderId order = state.blocks ? state.blocks->Find(client) : OrderId();
+  state.stats.unknown_clients += order.IsValid() ? 0 : 1;
   bool last_resort = false;
   if (state.baseline) {
-    answer =
-        state.ChooseInChange(known ? &list : nullptr, unit, now, &last_resort);
+    answer = state.ChooseInChange(order, unit, now, &last_resort);
   } else {
-    answer = state.Choose(*state.current, known ? list : state.near_current,
-                          state.near_current, unit, &last_resort);
+    answer = state.Choose(&*state.current, order, unit, &last_resort);
   }
   state.stats.last_resort += last_resort ? 1 : 0;
-  const bool in_change =
-      state.baseline || state.leaving || state.current->HasDrain();
-  answer.ttl = in_change ? state.init.ttl_in_change : state.init.ttl;
+  answer.ttl = state.in_change ? state.init.ttl_in_change : state.init.ttl;
   return answer;
 }
 
--- a/src/steer/lookup_table.cc
+++ b/src/steer/lookup_table.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "src/steer/lookup_key.h"
@@ -34,6 +36,10 @@
   return data_->orders[order.value];
 }
 
+size_t BlockTable::OrderCount() const {
+  return data_->orders.size();
+}
+
 const std::vector<std::string>& BlockTable::Sites() const {
   return data_->sites;
 }
@@ -129,6 +135,25 @@
   size_t next_change_ = 0;
 };
 
+// Prepares `out` for all prefixes of a base and its changes.
+template <typename Key>
+void Reserve(const PrefixMap<Key>* base,
+             const std::vector<BlockDelta::Entry>& changes,
+             PrefixMap<Key>* out) {
+  Key first = std::numeric_limits<Key>::max();
+  Key last = 0;
+  const size_t base_size = base == nullptr ? 0 : base->Size();
+  if (base_size > 0) {
+    first = base->Start(0);
+    last = base->Start(base_size - 1);
+  }
+  if (!changes.empty()) {
+    first = std::min(first, static_cast<Key>(changes.front().start));
+    last = std::max(last, static_cast<Key>(changes.back().start));
+  }
+  out->Reserve(base_size + changes.size(), std::min(first, last), last);
+}
+
 // Appends the delta's sites and orders to the table's and gives the numbers
 // that they have there.
 template <typename Item, typename Equal>
@@ -222,14 +247,12 @@
     *error = {1, "the table would exceed its limits"};
     return false;
   }
-  out.ipv4.Reserve((base == nullptr ? 0 : base->ipv4.Size()) +
-                   delta.ipv4.size());
-  out.ipv6.Reserve((base == nullptr ? 0 : base->ipv6.Size()) +
-                   delta.ipv6.size());
-  state.ipv4.emplace(base == nullptr ? nullptr : &base->ipv4, &delta.ipv4,
-                     &out.ipv4);
-  state.ipv6.emplace(base == nullptr ? nullptr : &base->ipv6, &delta.ipv6,
-                     &out.ipv6);
+  const PrefixMap<uint32_t>* ipv4 = base == nullptr ? nullptr : &base->ipv4;
+  const PrefixMap<uint64_t>* ipv6 = base == nullptr ? nullptr : &base->ipv6;
+  Reserve(ipv4, delta.ipv4, &out.ipv4);
+  Reserve(ipv6, delta.ipv6, &out.ipv6);
+  state.ipv4.emplace(ipv4, &delta.ipv4, &out.ipv4);
+  state.ipv6.emplace(ipv6, &delta.ipv6, &out.ipv6);
   return true;
 }
 
