Edge server, backend server stand-in: first whole path

Callers are served by libevhtp, backend servers over bufferevents with libevhtp's response parser, since evhttp's client can't tell what was written.

--- /dev/null
+++ b/src/edge/attempt.cc
@@ -0,0 +1,293 @@
+#include "src/edge/attempt.h"
+
+#include <charconv>
+#include <utility>
+
+#include "comfreystand/limits.h"
+
+namespace comfreystand::edge {
+namespace {
+
+using steer::AttemptEvent;
+
+constexpr int kServiceUnavailable = 503;
+
+bool IsValue(const std::string* value, std::string_view expected) {
+  return value && *value == expected;
+}
+
+bool IsFinal(AttemptEvent event) {
+  return event != AttemptEvent::kWritten &&
+         event != AttemptEvent::kAnswerStarted;
+}
+
+}  // namespace
+
+Attempt::Attempt(event_base* base,
+                 Identity identity,
+                 size_t max_answer_bytes,
+                 Duration cancel_timeout,
+                 AttemptHost* host)
+    : identity_(std::move(identity)),
+      max_answer_bytes_(max_answer_bytes),
+      cancel_timeout_(cancel_timeout),
+      host_(host),
+      timer_(event_new(
+          base,
+          -1,
+          0,
+          [](evutil_socket_t, short, void* self) {
+            static_cast<Attempt*>(self)->OnTimer();
+          },
+          this)) {}
+
+void Attempt::Start(HttpConnection* connection,
+                    evbuffer* request,
+                    bool head_request) {
+  connection_ = connection;
+  if (!connection) {
+    SetTimer(Duration::zero());
+    return;
+  }
+  connection->Start(this, request, head_request);
+}
+
+void Attempt::Write(evbuffer* data) {
+  if (connection_) {
+    connection_->Write(data);
+  }
+}
+
+void Attempt::EndRequest() {
+  if (connection_) {
+    connection_->EndRequest();
+  }
+}
+
+size_t Attempt::UnwrittenBytes() const {
+  return connection_ ? connection_->UnwrittenBytes() : 0;
+}
+
+void Attempt::SetTimer(Duration delay) {
+  const timeval wait = ToTimeval(delay);
+  event_add(timer_.get(), &wait);
+}
+
+// Either no connection could be had, or a cancellation took too long.
+void Attempt::OnTimer() {
+  if (connection_) {
+    connection_->Close();
+    return;
+  }
+  if (!outcome_reported_) {
+    OnExchangeFailed(ExchangeFailure::kConnectFailed, false);
+  }
+}
+
+void Attempt::ReportOnce(AttemptEvent event, bool silent) {
+  if (outcome_reported_) {
+    return;
+  }
+  outcome_reported_ = IsFinal(event);
+  steer::AttemptReport report;
+  report.event = event;
+  report.silent = silent;
+  report.leaving = leaving_;
+  report.reported_free_slots = reported_free_slots_;
+  host_->Report(this, report);
+}
+
+void Attempt::OnFirstByteWritten() {
+  written_ = true;
+  ReportOnce(AttemptEvent::kWritten);
+}
+
+void Attempt::OnWriteDrained() {
+  host_->OnAttemptDrained(this);
+}
+
+bool Attempt::IsRefusal(const AnswerHead& head) const {
+  return head.status == kServiceUnavailable &&
+         IsValue(head.Find(kStartedHeader), "no");
+}
+
+void Attempt::ReadFacts(const AnswerHead& head) {
+  leaving_ = IsValue(head.Find(kLeavingHeader), "yes");
+  if (const std::string* slots = head.Find(kFreeSlotsHeader)) {
+    int value = -1;
+    std::from_chars(slots->data(), slots->data() + slots->size(), value);
+    reported_free_slots_ = value;
+  }
+}
+
+void Attempt::OnAnswerHead(AnswerHead head) {
+  head_ = std::move(head);
+  ReadFacts(head_);
+  refused_ = IsRefusal(head_);
+  if (cancelling_) {
+    // The answer to the cancellation decides, unless this one is clear.
+    if (refused_) {
+      ReportOnce(AttemptEvent::kCancelledBeforeStart);
+    }
+    return;
+  }
+  if (refused_) {
+    ReportOnce(AttemptEvent::kRefused);
+    return;
+  }
+  if (head_.content_length > static_cast<int64_t>(max_answer_bytes_)) {
+    host_->CountFault(Fault::kAnswerTooLarge);
+    connection_->Close();
+    return;
+  }
+  head_arrived_ = true;
+  ReportOnce(AttemptEvent::kAnswerStarted);
+}
+
+void Attempt::OnAnswerBody(const char* data, size_t size) {
+  body_bytes_ += size;
+  if (refused_ || discarded_ || cancelling_) {
+    return;
+  }
+  if (body_bytes_ > max_answer_bytes_) {
+    host_->CountFault(Fault::kAnswerTooLarge);
+    connection_->Close();
+    return;
+  }
+  evbuffer_add(pending_.get(), data, size);
+  if (sink_) {
+    HandOver();
+  } else if (evbuffer_get_length(pending_.get()) > limits::kRelayBufferBytes) {
+    connection_->PauseReading();
+  }
+}
+
+void Attempt::OnAnswerComplete() {
+  connection_ = nullptr;
+  complete_ = true;
+  event_del(timer_.get());
+  if (cancelling_ && !refused_) {
+    // It finished before the cancellation reached it.
+    ReportOnce(AttemptEvent::kBroken);
+  }
+  ReportOnce(AttemptEvent::kAnswered);
+  if (sink_) {
+    HandOver();
+  }
+  EndIfDone();
+}
+
+void Attempt::OnExchangeFailed(ExchangeFailure failure, bool written) {
+  if (failure == ExchangeFailure::kSilent) {
+    host_->OnSilent(connection_);
+  }
+  connection_ = nullptr;
+  truncated_ = true;
+  event_del(timer_.get());
+  if (written) {
+    ReportOnce(AttemptEvent::kBroken, failure == ExchangeFailure::kSilent);
+  } else if (cancelling_) {
+    ReportOnce(AttemptEvent::kCancelledBeforeStart);
+  } else {
+    ReportOnce(AttemptEvent::kConnectFailed);
+  }
+  if (sink_) {
+    std::exchange(sink_, nullptr)->OnTruncated();
+    discarded_ = true;
+  }
+  EndIfDone();
+}
+
+void Attempt::Deliver(AnswerSink* sink) {
+  sink_ = sink;
+  sink_->OnHead(head_);
+  HandOver();
+  EndIfDone();
+}
+
+void Attempt::HandOver() {
+  if (evbuffer_get_length(pending_.get()) > 0) {
+    sink_->OnBody(pending_.get());
+  }
+  if (!sink_) {
+    return;
+  }
+  if (complete_) {
+    std::exchange(sink_, nullptr)->OnEnd();
+    discarded_ = true;
+  } else if (truncated_) {
+    std::exchange(sink_, nullptr)->OnTruncated();
+    discarded_ = true;
+  }
+}
+
+void Attempt::Pause() {
+  if (connection_) {
+    connection_->PauseReading();
+  }
+}
+
+void Attempt::Resume() {
+  if (connection_) {
+    connection_->ResumeReading();
+  }
+}
+
+void Attempt::Discard() {
+  sink_ = nullptr;
+  discarded_ = true;
+  evbuffer_drain(pending_.get(), evbuffer_get_length(pending_.get()));
+  Resume();
+  EndIfDone();
+}
+
+void Attempt::Cancel() {
+  if (cancelling_) {
+    return;
+  }
+  Discard();
+  if (!connection_) {
+    return;
+  }
+  cancelling_ = true;
+  if (!written_ || head_arrived_) {
+    connection_->Close();
+    return;
+  }
+  SetTimer(cancel_timeout_);
+  host_->SendCancel(this);
+}
+
+void Attempt::OnCancelAnswer(bool answered, bool not_started, bool unknown) {
+  if (!connection_) {
+    return;
+  }
+  if (answered && unknown) {
+    // The request never reached the backend server over this connection.
+    host_->OnSilent(connection_);
+  }
+  if (answered && not_started) {
+    ReportOnce(AttemptEvent::kCancelledBeforeStart, unknown);
+  } else {
+    ReportOnce(AttemptEvent::kBroken, unknown);
+  }
+  // A backend server that knows the attempt also answers it, which frees the
+  // connection for further use.
+  if (!answered || unknown) {
+    connection_->Close();
+  }
+}
+
+void Attempt::EndIfDone() {
+  if (over_ || connection_ || !outcome_reported_) {
+    return;
+  }
+  // A whole answer waits here until it is chosen or discarded.
+  if (head_arrived_ && !discarded_) {
+    return;
+  }
+  over_ = true;
+  host_->OnOver(this);
+}
+
+}  // namespace comfreystand::edge
--- /dev/null
+++ b/src/edge/backend_pool.cc
@@ -0,0 +1,161 @@
+#include "src/edge/backend_pool.h"
+
+#include <utility>
+
+namespace comfreystand::edge {
+
+BackendPool::BackendPool(event_base* base, const ServerInit& init, Stats* stats)
+    : base_(base),
+      timeouts_{init.connect_timeout, init.backend_timeout},
+      max_connections_(init.max_backend_connections),
+      stats_(stats),
+      sweep_(event_new(
+          base,
+          -1,
+          0,
+          [](evutil_socket_t, short, void* self) {
+            static_cast<BackendPool*>(self)->closed_.clear();
+          },
+          this)) {}
+
+BackendPool::~BackendPool() = default;
+
+void BackendPool::SetBackends(const std::vector<BackendAddress>& backends) {
+  std::unordered_map<BackendId, Backend> next;
+  ids_.clear();
+  for (const BackendAddress& entry : backends) {
+    Backend backend;
+    if (!ParseAddress(entry.address, &backend.socket_address)) {
+      continue;
+    }
+    const auto old = backends_.find(entry.id);
+    if (old != backends_.end() && old->second.address == entry.address) {
+      backend.open = old->second.open;
+      backend.idle = std::move(old->second.idle);
+      old->second.idle.clear();
+    }
+    backend.address = entry.address;
+    backend.max_connections = entry.max_connections;
+    next.emplace(entry.id, std::move(backend));
+    ids_.push_back(entry.id);
+  }
+  std::unordered_map<BackendId, Backend> old = std::move(backends_);
+  backends_ = std::move(next);
+  for (auto& [id, backend] : old) {
+    for (HttpConnection* connection : std::exchange(backend.idle, {})) {
+      connection->Close();
+    }
+  }
+}
+
+HttpConnection* BackendPool::Acquire(BackendId id) {
+  const auto found = backends_.find(id);
+  if (found == backends_.end()) {
+    return nullptr;
+  }
+  Backend& backend = found->second;
+  if (!backend.idle.empty()) {
+    HttpConnection* connection = backend.idle.back();
+    backend.idle.pop_back();
+    ++stats_->connections_reused;
+    return connection;
+  }
+  return Open(id, &backend);
+}
+
+HttpConnection* BackendPool::Open(BackendId id, Backend* backend) {
+  if (backend->open >= backend->max_connections) {
+    return nullptr;
+  }
+  if (connections() >= max_connections_ && !CloseOneIdle()) {
+    return nullptr;
+  }
+  auto connection = std::make_unique<HttpConnection>(
+      base_, backend->socket_address, timeouts_, this);
+  if (!connection->Connect()) {
+    ++stats_->connections_failed;
+    return nullptr;
+  }
+  ++backend->open;
+  HttpConnection* raw = connection.get();
+  slots_.emplace(
+      raw, Slot{std::move(connection), id, backend->address, next_serial_++});
+  return raw;
+}
+
+bool BackendPool::CloseOneIdle() {
+  for (auto& [id, backend] : backends_) {
+    if (!backend.idle.empty()) {
+      backend.idle.front()->Close();
+      return true;
+    }
+  }
+  return false;
+}
+
+void BackendPool::CondemnOlder(const HttpConnection* silent) {
+  const auto slot = slots_.find(silent);
+  if (slot == slots_.end()) {
+    return;
+  }
+  ++stats_->silent_connections;
+  const Backend* backend = Find(slot->second);
+  if (!backend) {
+    return;
+  }
+  const uint64_t serial = slot->second.serial;
+  std::vector<HttpConnection*> condemned;
+  for (HttpConnection* connection : backend->idle) {
+    if (slots_.at(connection).serial < serial) {
+      condemned.push_back(connection);
+    }
+  }
+  stats_->condemned_connections += condemned.size();
+  for (HttpConnection* connection : condemned) {
+    connection->Close();
+  }
+}
+
+int BackendPool::idle_connections() const {
+  size_t count = 0;
+  for (const auto& [id, backend] : backends_) {
+    count += backend.idle.size();
+  }
+  return static_cast<int>(count);
+}
+
+void BackendPool::OnConnected(HttpConnection* connection) {
+  ++stats_->connections_opened;
+}
+
+void BackendPool::OnIdle(HttpConnection* connection) {
+  Backend* backend = Find(slots_.at(connection));
+  if (!backend) {
+    connection->Close();
+    return;
+  }
+  backend->idle.push_back(connection);
+}
+
+BackendPool::Backend* BackendPool::Find(const Slot& slot) {
+  const auto found = backends_.find(slot.backend);
+  const bool same =
+      found != backends_.end() && found->second.address == slot.address;
+  return same ? &found->second : nullptr;
+}
+
+void BackendPool::OnClosed(HttpConnection* connection,
+                           ExchangeFailure failure) {
+  if (failure == ExchangeFailure::kConnectFailed) {
+    ++stats_->connections_failed;
+  }
+  auto slot = slots_.extract(connection);
+  if (Backend* backend = Find(slot.mapped())) {
+    --backend->open;
+    std::erase(backend->idle, connection);
+  }
+  closed_.push_back(std::move(slot.mapped().connection));
+  event_active(sweep_.get(), EV_TIMEOUT, 0);
+}
+
+}  // namespace comfreystand::edge
--- /dev/null
+++ b/src/edge/http_connection.cc
@@ -0,0 +1,413 @@
+#include "src/edge/http_connection.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdlib>
+
+#include "comfreystand/limits.h"
+
+namespace comfreystand::edge {
+namespace {
+
+constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+constexpr size_t kReadBytes = 64 * 1024;
+
+bool EqualNames(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+HttpConnection* Self(htparser* parser) {
+  return static_cast<HttpConnection*>(htparser_get_userdata(parser));
+}
+
+std::string FormatAddress(const sockaddr_in& address) {
+  std::array<char, INET_ADDRSTRLEN> text{};
+  inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
+  return std::string(text.data()) + ":" +
+         std::to_string(ntohs(address.sin_port));
+}
+
+std::string_view Trim(std::string_view text) {
+  const size_t first = text.find_first_not_of(" \t");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+}  // namespace
+
+const std::string* AnswerHead::Find(std::string_view name) const {
+  for (const HeaderField& field : headers) {
+    if (EqualNames(field.name, name)) {
+      return &field.value;
+    }
+  }
+  return nullptr;
+}
+
+bool ParseAddress(const std::string& text, sockaddr_in* address) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    return false;
+  }
+  const char* end = text.data() + text.size();
+  uint16_t port = 0;
+  const auto result = std::from_chars(text.data() + colon + 1, end, port);
+  *address = {};
+  address->sin_family = AF_INET;
+  address->sin_port = htons(port);
+  return result.ec == std::errc() && result.ptr == end &&
+         inet_pton(AF_INET, text.substr(0, colon).c_str(),
+                   &address->sin_addr) == 1;
+}
+
+HttpConnection::HttpConnection(event_base* base,
+                               const sockaddr_in& address,
+                               const Timeouts& timeouts,
+                               ConnectionOwner* owner)
+    : base_(base),
+      address_(address),
+      host_(FormatAddress(address)),
+      timeouts_(timeouts),
+      owner_(owner),
+      parser_(htparser_new(), &std::free) {
+  htparser_init(parser_.get(), htp_type_response);
+  htparser_set_userdata(parser_.get(), this);
+}
+
+HttpConnection::~HttpConnection() {
+  if (bev_) {
+    bufferevent_free(bev_);
+  }
+}
+
+bool HttpConnection::Connect() {
+  state_ = State::kConnecting;
+  bev_ = bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb(
+      bev_,
+      [](bufferevent*, void* self) {
+        static_cast<HttpConnection*>(self)->OnReadable();
+      },
+      [](bufferevent*, void* self) {
+        static_cast<HttpConnection*>(self)->OnWritable();
+      },
+      [](bufferevent*, short events, void* self) {
+        static_cast<HttpConnection*>(self)->OnEvent(events);
+      },
+      this);
+  bufferevent_set_max_single_read(bev_, kReadBytes);
+  output_hook_ = evbuffer_add_cb(
+      bufferevent_get_output(bev_),
+      [](evbuffer*, const evbuffer_cb_info* info, void* self) {
+        static_cast<HttpConnection*>(self)->OnOutputChanged(info->n_deleted);
+      },
+      this);
+  const timeval connect = ToTimeval(timeouts_.connect);
+  bufferevent_set_timeouts(bev_, nullptr, &connect);
+  return bufferevent_socket_connect(
+             bev_, reinterpret_cast<const sockaddr*>(&address_),
+             sizeof(address_)) == 0;
+}
+
+void HttpConnection::Start(Exchange* exchange,
+                           evbuffer* request,
+                           bool head_request) {
+  exchange_ = exchange;
+  written_ = false;
+  head_request_ = head_request;
+  request_ended_ = false;
+  moved_ = false;
+  ResetAnswer();
+  if (state_ == State::kOpen) {
+    SetProgressTimeout(true);
+  }
+  Write(request);
+}
+
+void HttpConnection::Write(evbuffer* data) {
+  if (bev_) {
+    bufferevent_write_buffer(bev_, data);
+  }
+}
+
+size_t HttpConnection::UnwrittenBytes() const {
+  return bev_ ? evbuffer_get_length(bufferevent_get_output(bev_)) : 0;
+}
+
+void HttpConnection::PauseReading() {
+  if (state_ == State::kOpen) {
+    bufferevent_disable(bev_, EV_READ);
+  }
+}
+
+void HttpConnection::ResumeReading() {
+  if (state_ == State::kOpen) {
+    bufferevent_enable(bev_, EV_READ);
+  }
+}
+
+void HttpConnection::Close() {
+  Fail(ExchangeFailure::kClosed);
+}
+
+void HttpConnection::ResetAnswer() {
+  htparser_init(parser_.get(), htp_type_response);
+  htparser_set_userdata(parser_.get(), this);
+  head_ = AnswerHead();
+  answer_begun_ = false;
+  head_done_ = false;
+  complete_ = false;
+  until_close_ = false;
+  keep_alive_ = true;
+  chunked_ = false;
+  bad_framing_ = false;
+}
+
+void HttpConnection::SetProgressTimeout(bool enabled) {
+  const timeval progress = ToTimeval(timeouts_.progress);
+  bufferevent_set_timeouts(bev_, enabled ? &progress : nullptr, &progress);
+}
+
+void HttpConnection::OnEvent(short events) {
+  if (events & BEV_EVENT_CONNECTED) {
+    state_ = State::kOpen;
+    const int on = 1;
+    const int fd = bufferevent_getfd(bev_);
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    // Unacknowledged bytes break the connection as soon as silence does.
+    const unsigned int millis = static_cast<unsigned int>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            timeouts_.progress)
+            .count());
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof(millis));
+    SetProgressTimeout(exchange_ != nullptr);
+    bufferevent_enable(bev_, EV_READ | EV_WRITE);
+    owner_->OnConnected(this);
+    return;
+  }
+  if (state_ == State::kConnecting) {
+    Fail(ExchangeFailure::kConnectFailed);
+    return;
+  }
+  const bool waits_for_request = moved_ || !request_ended_;
+  if (events == (BEV_EVENT_TIMEOUT | BEV_EVENT_READING) && exchange_ &&
+      waits_for_request) {
+    moved_ = false;
+    bufferevent_enable(bev_, EV_READ);
+    return;
+  }
+  if (events & BEV_EVENT_TIMEOUT) {
+    Fail(exchange_ ? ExchangeFailure::kSilent : ExchangeFailure::kBroken);
+    return;
+  }
+  if (until_close_ && (events & BEV_EVENT_EOF) != 0) {
+    complete_ = true;
+    keep_alive_ = false;
+    FinishExchange();
+    return;
+  }
+  Fail(ExchangeFailure::kBroken);
+}
+
+void HttpConnection::OnOutputChanged(size_t removed) {
+  moved_ = moved_ || removed > 0;
+  if (removed == 0 || written_ || !exchange_ || state_ != State::kOpen) {
+    return;
+  }
+  written_ = true;
+  exchange_->OnFirstByteWritten();
+}
+
+void HttpConnection::OnWritable() {
+  if (exchange_ && state_ == State::kOpen) {
+    exchange_->OnWriteDrained();
+  }
+}
+
+void HttpConnection::OnReadable() {
+  evbuffer* input = bufferevent_get_input(bev_);
+  while (state_ == State::kOpen && evbuffer_get_length(input) > 0) {
+    if (!exchange_) {
+      Fail(ExchangeFailure::kBroken);
+      return;
+    }
+    answer_begun_ = true;
+    const bool going_on =
+        until_close_ ? PassUntilClose(input) : ParseSome(input);
+    if (!going_on) {
+      return;
+    }
+  }
+}
+
+bool HttpConnection::PassUntilClose(evbuffer* input) {
+  evbuffer_iovec piece;
+  evbuffer_peek(input, -1, nullptr, &piece, 1);
+  parsing_ = true;
+  exchange_->OnAnswerBody(static_cast<const char*>(piece.iov_base),
+                          piece.iov_len);
+  parsing_ = false;
+  if (close_after_parsing_) {
+    Fail(ExchangeFailure::kClosed);
+    return false;
+  }
+  evbuffer_drain(input, piece.iov_len);
+  return true;
+}
+
+bool HttpConnection::ParseSome(evbuffer* input) {
+  evbuffer_iovec piece;
+  evbuffer_peek(input, -1, nullptr, &piece, 1);
+  parsing_ = true;
+  const size_t parsed = std::min(
+      htparser_run(parser_.get(), const_cast<htparse_hooks*>(&ParserHooks()),
+                   static_cast<const char*>(piece.iov_base), piece.iov_len),
+      piece.iov_len);
+  parsing_ = false;
+  if (close_after_parsing_) {
+    Fail(ExchangeFailure::kClosed);
+    return false;
+  }
+  if (complete_) {
+    evbuffer_drain(input, parsed);
+    keep_alive_ = keep_alive_ && evbuffer_get_length(input) == 0;
+    FinishExchange();
+    return false;
+  }
+  if (until_close_) {
+    evbuffer_drain(input, parsed);
+    return true;
+  }
+  if (bad_framing_ || htparser_get_error(parser_.get()) != htparse_error_none ||
+      parsed < piece.iov_len) {
+    Fail(ExchangeFailure::kBroken);
+    return false;
+  }
+  evbuffer_drain(input, parsed);
+  return true;
+}
+
+const htparse_hooks& HttpConnection::ParserHooks() {
+  static const htparse_hooks kHooks = [] {
+    htparse_hooks hooks = {};
+    hooks.hdr_key = [](htparser* parser, const char* data, size_t size) {
+      HttpConnection* self = Self(parser);
+      if (!self->head_done_) {
+        self->head_.headers.push_back({std::string(data, size), {}});
+      }
+      return 0;
+    };
+    hooks.hdr_val = [](htparser* parser, const char* data, size_t size) {
+      HttpConnection* self = Self(parser);
+      if (!self->head_done_ && !self->head_.headers.empty()) {
+        self->head_.headers.back().value += Trim({data, size});
+      }
+      return 0;
+    };
+    hooks.on_hdrs_complete = [](htparser* parser) {
+      return Self(parser)->OnHeadComplete();
+    };
+    hooks.body = [](htparser* parser, const char* data, size_t size) {
+      Self(parser)->exchange_->OnAnswerBody(data, size);
+      return Self(parser)->close_after_parsing_ ? -1 : 0;
+    };
+    hooks.on_msg_complete = [](htparser* parser) {
+      return Self(parser)->OnMessageComplete();
+    };
+    return hooks;
+  }();
+  return kHooks;
+}
+
+int HttpConnection::OnHeadComplete() {
+  head_.status = static_cast<int>(htparser_get_status(parser_.get()));
+  int lengths = 0;
+  for (const HeaderField& field : head_.headers) {
+    if (EqualNames(field.name, "Content-Length")) {
+      ++lengths;
+      int64_t length = -1;
+      const char* end = field.value.data() + field.value.size();
+      const auto result = std::from_chars(field.value.data(), end, length);
+      bad_framing_ = bad_framing_ || result.ptr != end || length < 0;
+      head_.content_length = length;
+    } else if (EqualNames(field.name, "Transfer-Encoding")) {
+      chunked_ = EqualNames(field.value, "chunked");
+      bad_framing_ = bad_framing_ || !chunked_;
+    }
+  }
+  bad_framing_ = bad_framing_ || lengths > 1 || (lengths == 1 && chunked_);
+  if (bad_framing_ || head_.status < kFirstFinalStatus) {
+    // Nothing here asks for interim answers or protocol changes.
+    bad_framing_ = true;
+    return -1;
+  }
+  head_done_ = true;
+  keep_alive_ = htparser_should_keep_alive(parser_.get()) != 0;
+  head_.no_body = head_request_ || head_.status == kNoContent ||
+                  head_.status == kNotModified;
+  until_close_ = !head_.no_body && !chunked_ && head_.content_length < 0;
+  const bool no_body = head_.no_body;
+  exchange_->OnAnswerHead(std::move(head_));
+  if (close_after_parsing_) {
+    return -1;
+  }
+  // Stops the parser where the body would begin.
+  complete_ = no_body;
+  return complete_ ? -1 : 0;
+}
+
+int HttpConnection::OnMessageComplete() {
+  complete_ = !until_close_;
+  return -1;
+}
+
+void HttpConnection::FinishExchange() {
+  Exchange* exchange = exchange_;
+  // An answer that came before the whole request was sent leaves a
+  // connection in the middle of a message.
+  const bool reusable = keep_alive_ && UnwrittenBytes() == 0;
+  exchange_ = nullptr;
+  SetProgressTimeout(false);
+  exchange->OnAnswerComplete();
+  if (state_ != State::kOpen) {
+    return;
+  }
+  if (reusable) {
+    bufferevent_enable(bev_, EV_READ);
+    owner_->OnIdle(this);
+  } else {
+    Fail(ExchangeFailure::kClosed);
+  }
+}
+
+void HttpConnection::Fail(ExchangeFailure failure) {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  if (parsing_) {
+    close_after_parsing_ = true;
+    return;
+  }
+  state_ = State::kClosed;
+  evbuffer_remove_cb_entry(bufferevent_get_output(bev_), output_hook_);
+  bufferevent_free(bev_);
+  bev_ = nullptr;
+  Exchange* exchange = exchange_;
+  exchange_ = nullptr;
+  if (exchange) {
+    exchange->OnExchangeFailed(failure, written_);
+  }
+  owner_->OnClosed(this, failure);
+}
+
+}  // namespace comfreystand::edge
--- /dev/null
+++ b/src/edge/side_call.cc
@@ -0,0 +1,76 @@
+#include "src/edge/side_call.h"
+
+#include <utility>
+
+namespace comfreystand::edge {
+namespace {
+
+constexpr size_t kMaxBodyBytes = 64 * 1024;
+
+}  // namespace
+
+SideCall::SideCall(event_base* base, Duration timeout, Done done)
+    : done_(std::move(done)),
+      timer_(event_new(
+          base,
+          -1,
+          0,
+          [](evutil_socket_t, short, void* self) {
+            static_cast<SideCall*>(self)->OnTimeout();
+          },
+          this)),
+      timeout_(timeout) {}
+
+void SideCall::Start(HttpConnection* connection,
+                     const std::string& method,
+                     const std::string& path) {
+  connection_ = connection;
+  const timeval wait = ToTimeval(connection ? timeout_ : Duration::zero());
+  event_add(timer_.get(), &wait);
+  if (!connection) {
+    return;
+  }
+  const std::string head = method + " " + path +
+                           " HTTP/1.1\r\nHost: " + connection->host() +
+                           "\r\n\r\n";
+  const BufferPtr request = NewBuffer();
+  evbuffer_add(request.get(), head.data(), head.size());
+  connection->Start(this, request.get(), false);
+  connection->EndRequest();
+}
+
+void SideCall::OnAnswerHead(AnswerHead head) {
+  outcome_.head = std::move(head);
+}
+
+void SideCall::OnAnswerBody(const char* data, size_t size) {
+  if (outcome_.body.size() + size > kMaxBodyBytes) {
+    connection_->Close();
+    return;
+  }
+  outcome_.body.append(data, size);
+}
+
+void SideCall::OnAnswerComplete() {
+  connection_ = nullptr;
+  outcome_.answered = true;
+  // `done` may destroy this object.
+  const Done done = std::move(done_);
+  done(this, Outcome(std::move(outcome_)));
+}
+
+void SideCall::OnExchangeFailed(ExchangeFailure failure, bool written) {
+  connection_ = nullptr;
+  const Done done = std::move(done_);
+  done(this, Outcome(std::move(outcome_)));
+}
+
+void SideCall::OnTimeout() {
+  if (connection_) {
+    connection_->Close();
+  } else {
+    OnExchangeFailed(ExchangeFailure::kConnectFailed, false);
+  }
+}
+
+}  // namespace comfreystand::edge
--- /dev/null
+++ b/standins/main/standin.cc
@@ -0,0 +1,100 @@
+#include <event2/event.h>
+#include <popt.h>
+#include <signal.h>
+
+#include <array>
+#include <cstdio>
+#include <cstring>
+#include <memory>
+#include <string>
+
+#include "standins/backend.h"
+
+// Stand-ins for the platform and for backend servers, as processes. Each prints
+// the address it listens on as its first line.
+namespace {
+
+struct BaseDeleter {
+  void operator()(event_base* base) const { event_base_free(base); }
+};
+using BasePtr = std::unique_ptr<event_base, BaseDeleter>;
+
+// Runs the loop until SIGTERM or SIGINT.
+void RunUntilStopped(event_base* base) {
+  const auto stop = [](evutil_socket_t, short, void* arg) {
+    event_base_loopbreak(static_cast<event_base*>(arg));
+  };
+  event* term = evsignal_new(base, SIGTERM, stop, base);
+  event* interrupt = evsignal_new(base, SIGINT, stop, base);
+  event_add(term, nullptr);
+  event_add(interrupt, nullptr);
+  event_base_dispatch(base);
+  event_free(term);
+  event_free(interrupt);
+}
+
+int RunBackend(int argc, const char** argv) {
+  char* address = nullptr;
+  char* behaviour = nullptr;
+  const std::array<poptOption, 4> options = {{
+      {"listen", 'l', POPT_ARG_STRING, static_cast<void*>(&address), 0,
+       "address and port, default 127.0.0.1:0", "A.B.C.D:PORT"},
+      {"behaviour", 'b', POPT_ARG_STRING, static_cast<void*>(&behaviour), 0,
+       "JSON as taken by POST /control", "JSON"},
+      POPT_AUTOHELP POPT_TABLEEND,
+  }};
+  poptContext context =
+      poptGetContext("backend", argc, argv, options.data(), 0);
+  const int parsed = poptGetNextOpt(context);
+  poptFreeContext(context);
+  if (parsed < -1) {
+    std::fprintf(stderr, "backend: %s\n", poptStrerror(parsed));
+    return 2;
+  }
+  const BasePtr base(event_base_new());
+  comfreystand::standins::Backend backend(base.get(), {});
+  if (behaviour && !backend.Control(behaviour)) {
+    std::fprintf(stderr, "backend: bad behaviour\n");
+    return 2;
+  }
+  if (!backend.Listen(address ? address : "127.0.0.1:0")) {
+    std::fprintf(stderr, "backend: can't listen\n");
+    return 1;
+  }
+  std::printf("%s\n", backend.address().c_str());
+  std::fflush(stdout);
+  RunUntilStopped(base.get());
+  return 0;
+}
+
+struct Verb {
+  const char* name;
+  int (*run)(int argc, const char** argv);
+  const char* help;
+};
+
+constexpr std::array<Verb, 1> kVerbs = {{
+    {"backend", &RunBackend, "a backend server"},
+}};
+
+int PrintUsage() {
+  std::fprintf(stderr, "usage: comfreystand-standin VERB [OPTION...]\n");
+  for (const Verb& verb : kVerbs) {
+    std::fprintf(stderr, "  %-10s %s\n", verb.name, verb.help);
+  }
+  return 2;
+}
+
+}  // namespace
+
+int main(int argc, const char** argv) {
+  if (argc < 2) {
+    return PrintUsage();
+  }
+  for (const Verb& verb : kVerbs) {
+    if (std::strcmp(argv[1], verb.name) == 0) {
+      return verb.run(argc - 1, argv + 1);
+    }
+  }
+  return PrintUsage();
+}
