--- a/src/edge/lookup_reply.cc
+++ b/src/edge/lookup_reply.cc
@@ -1,7 +1,5 @@
 #include "src/edge/lookup_reply.h"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
 #include <charconv>
 #include <cstring>
@@ -129,23 +127,6 @@
   return {text_.data(), static_cast<size_t>(text.end() - text_.data())};
 }
 
-bool ParseClientAddress(std::string_view text, steer::ClientAddress* client) {
-  std::array<char, INET6_ADDRSTRLEN> copy{};
-  if (text.size() >= copy.size()) {
-    return false;
-  }
-  std::copy(text.begin(), text.end(), copy.begin());
-  in_addr v4;
-  if (inet_pton(AF_INET, copy.data(), &v4) == 1) {
-    client->bytes = {};
-    client->bytes[kV4MappedOffset - 2] = 0xff;
-    client->bytes[kV4MappedOffset - 1] = 0xff;
-    std::memcpy(client->bytes.data() + kV4MappedOffset, &v4, sizeof(v4));
-    return true;
-  }
-  return inet_pton(AF_INET6, copy.data(), client->bytes.data()) == 1;
-}
-
 bool FindQueryValue(std::string_view query,
                     std::string_view name,
                     std::string_view* value) {
--- a/src/edge/lookup_reply.h
+++ b/src/edge/lookup_reply.h
@@ -35,9 +35,6 @@
   std::vector<char> text_;
 };
 
-// Parses a numeric IPv4 or IPv6 address; IPv4 is mapped into IPv6.
-bool ParseClientAddress(std::string_view text, steer::ClientAddress* client);
-
 // Finds the value of `name` in a raw query. Returns false when it is missing.
 bool FindQueryValue(std::string_view query,
                     std::string_view name,
--- a/src/edge/relay_request.cc
+++ b/src/edge/relay_request.cc
@@ -228,6 +228,7 @@
   out->traits.service =
       ServiceId(static_cast<uint16_t>(found - tables.services.begin()));
   out->target = slash == std::string_view::npos ? "/" : path.substr(slash);
+  out->traits.path_hash = StableHash(out->target);
   if (request->uri->query_raw) {
     const char* query = reinterpret_cast<const char*>(request->uri->query_raw);
     out->target += *query ? "?" + std::string(query) : std::string();
--- a/src/edge/server_listen.cc
+++ b/src/edge/server_listen.cc
@@ -295,12 +295,14 @@
   std::string_view value;
   const char* query = reinterpret_cast<const char*>(request->uri->query_raw);
   if (query && FindQueryValue(query, "client", &value)) {
-    if (!ParseClientAddress(value, &client)) {
+    const auto named = steer::ParseClientAddress(value);
+    if (!named) {
       AnswerFault(request, {.status = 400,
                             .error = "bad_client_address",
                             .fault = Fault::kBadHeaderValue});
       return;
     }
+    client = *named;
   } else {
     client = PeerOf(request->conn);
   }
--- a/standins/backend.cc
+++ b/standins/backend.cc
@@ -1,9 +1,6 @@
 #include "standins/backend.h"
 
-#include <arpa/inet.h>
 #include <evhtp/evhtp.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
@@ -12,14 +9,14 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "standins/http_util.h"
+
 namespace comfreystand::standins {
 namespace {
 
-constexpr int kBacklog = 512;
 constexpr size_t kMaxRemembered = 20'000;
 constexpr size_t kMaxLoadHistory = 4'096;
 constexpr int kUnavailable = 503;
-constexpr int kDeadlinePassed = 504;
 
 template <typename Function>
 evhtp_hook ToHook(Function* function) {
@@ -35,34 +32,13 @@
   return SystemClock().Now();
 }
 
-bool ParseAddress(const std::string& text, sockaddr_in* address) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    return false;
-  }
-  address->sin_family = AF_INET;
-  address->sin_port = htons(static_cast<uint16_t>(
-      std::strtoul(text.c_str() + colon + 1, nullptr, 10)));
-  return inet_pton(AF_INET, text.substr(0, colon).c_str(),
-                   &address->sin_addr) == 1;
-}
-
 const char* Header(evhtp_request* request, const char* name) {
   const char* value = evhtp_header_find(request->headers_in, name);
   return value ? value : "";
 }
 
-int64_t QueryNumber(evhtp_request* request, const char* name, int64_t other) {
-  const char* value =
-      request->uri->query ? evhtp_kv_find(request->uri->query, name) : nullptr;
-  return value ? std::strtoll(value, nullptr, 10) : other;
-}
-
-void AddHeader(evhtp_request* request,
-               const char* name,
-               const std::string& value) {
-  evhtp_headers_add_header(request->headers_out,
-                           evhtp_header_new(name, value.c_str(), 0, 1));
+int64_t QueryNumberOr(evhtp_request* request, const char* name, int64_t other) {
+  return QueryText(request, name).empty() ? other : QueryNumber(request, name);
 }
 
 void SendJson(evhtp_request* request, const std::string& text) {
@@ -71,12 +47,6 @@
   evhtp_send_reply(request, EVHTP_RES_OK);
 }
 
-std::string BodyOf(evhtp_request* request) {
-  std::string body(evbuffer_get_length(request->buffer_in), '\0');
-  evbuffer_copyout(request->buffer_in, body.data(), body.size());
-  return body;
-}
-
 // The operation's id on a line of its own, then filler up to `size` bytes.
 std::string AnswerBody(const std::string& operation, size_t size) {
   std::string body = operation + "\n";
@@ -145,10 +115,6 @@
 }
 
 bool Backend::Listen(const std::string& address) {
-  sockaddr_in bound{};
-  if (!ParseAddress(address, &bound)) {
-    return false;
-  }
   htp_ = evhtp_new(base_, this);
   evhtp_enable_flag(htp_, EVHTP_FLAG_ENABLE_NODELAY);
   evhtp_set_post_accept_cb(
@@ -184,15 +150,8 @@
         }
       },
       this);
-  if (evhtp_bind_sockaddr(htp_, reinterpret_cast<sockaddr*>(&bound),
-                          sizeof(bound), kBacklog) != 0) {
-    return false;
-  }
-  socklen_t length = sizeof(bound);
-  getsockname(evconnlistener_get_fd(htp_->server),
-              reinterpret_cast<sockaddr*>(&bound), &length);
-  port_ = ntohs(bound.sin_port);
-  return true;
+  port_ = BindServer(htp_, address);
+  return port_ != 0;
 }
 
 template <Backend::Handler handler>
@@ -266,13 +225,13 @@
   const int64_t default_work =
       std::chrono::duration_cast<std::chrono::milliseconds>(behaviour_.work)
           .count();
-  job->work =
-      std::chrono::milliseconds(QueryNumber(request, "work_ms", default_work));
-  job->status = static_cast<int>(QueryNumber(request, "status", job->status));
-  job->body_bytes = static_cast<size_t>(QueryNumber(request, "body_bytes", 0));
-  job->cut = QueryNumber(request, "cut", -1);
-  job->chunked = QueryNumber(request, "chunked", 0) != 0;
-  job->close = QueryNumber(request, "close", 0) != 0;
+  job->work = std::chrono::milliseconds(
+      QueryNumberOr(request, "work_ms", default_work));
+  job->status = static_cast<int>(QueryNumberOr(request, "status", job->status));
+  job->body_bytes = static_cast<size_t>(QueryNumber(request, "body_bytes"));
+  job->cut = QueryNumberOr(request, "cut", -1);
+  job->chunked = QueryNumber(request, "chunked") != 0;
+  job->close = QueryNumber(request, "close") != 0;
   job->body_hash = std::to_string(StableHash(BodyOf(request)));
   const std::string deadline = Header(request, "Comfreystand-Deadline-Ms");
   if (!deadline.empty()) {
--- a/standins/backend_control.cc
+++ b/standins/backend_control.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "standins/backend.h"
+#include "standins/http_util.h"
 
 // Changes of the stand-in's behaviour over HTTP.
 namespace comfreystand::standins {
--- a/tests/support/fake_dispatcher.h
+++ b/tests/support/fake_dispatcher.h
@@ -31,6 +31,14 @@
   int Count(steer::AttemptEvent event) const;
   void StartProbe(BackendId backend);
 
+  void SetRules(TimePoint now, const RuleSet& rules) override {}
+  void UpdateBackend(TimePoint now,
+                     const steer::BackendUpdate& update) override {}
+  void SetPeersInDomain(uint32_t rank, uint32_t count) override {}
+  void SetSlotLimit(ServiceId service, DomainId domain, Slots limit) override {}
+  void StopAdmitting() override {}
+  steer::DispatcherStats Stats() const override { return {}; }
+  steer::BackendStatus StatusOf(BackendId backend) const override { return {}; }
   RequestHandle Submit(TimePoint now,
                        const steer::RequestTraits& traits) override;
   void CancelRequest(TimePoint now, RequestHandle request) override;
