--- a/include/comfreystand/limits.h
+++ b/include/comfreystand/limits.h
@@ -43,6 +43,20 @@
 constexpr size_t kMaxRequestHeaderBytes = 16'384;
 constexpr size_t kMaxRequestBodyBytes = size_t{8} << 20;
 constexpr size_t kMaxAnswerBodyBytes = size_t{64} << 20;
+constexpr size_t kMaxReplayBodyBytes = size_t{256} << 10;
+// Bytes that wait for a slow receiver before the sender is held back.
+constexpr size_t kRelayBufferBytes = size_t{256} << 10;
+constexpr int kMaxBackendConnections = 2'000;
+constexpr int kMaxConnectionsPerBackend = 48;
+constexpr int kMaxCallerConnections = 10'000;
+constexpr std::chrono::milliseconds kCallerProgressTimeout = 30'000ms;
+constexpr std::chrono::milliseconds kBackendConnectTimeout = 1'000ms;
+constexpr std::chrono::milliseconds kBackendProgressTimeout = 10'000ms;
+constexpr std::chrono::milliseconds kCancelTimeout = 1'000ms;
+constexpr std::chrono::milliseconds kProbeTimeout = 1'000ms;
+constexpr std::chrono::milliseconds kDefaultDeadline = 10'000ms;
+constexpr std::chrono::milliseconds kMaxDeadline = 600'000ms;
+constexpr std::chrono::milliseconds kLoadPollInterval = 1'000ms;
 
 // Platform.
 constexpr size_t kMaxStoreValueBytes = size_t{1} << 20;
