Settings, log lines and the command line

Cause: a node learns its addresses and place from an INI file, operators check files before anything starts, and every verb needs one way to be registered.

Each setting is one row of a table (section, key, member, range, meaning); its type gives unit and syntax. The parser, the checks, `settings check` and docs/SETTINGS.md come from the table, and a test keeps the page current. inih tells neither the line of a pair nor all faulty lines, so the reader that feeds it counts lines and notes which ones gave no pair. Verbs are table rows with a function, options, examples and an exit code; popt reads the options. Log entries go through a sink that the command line sets to log4cxx.

Ruled out: POPT_AUTOHELP, which ends the process itself and can't show examples; a schema file beside the code, which would say everything twice.

Found by the new tests and mended: a verb given as one quoted word ("rules check") was matched by its characters and read past the arguments.

--- a/include/comfreystand/limits.h
+++ b/include/comfreystand/limits.h
@@ -25,6 +25,9 @@
 constexpr double kDefaultCapShare = 0.10;
 constexpr std::chrono::seconds kDefaultCapRamp = 60s;
 
+// Settings.
+constexpr size_t kMaxSettingsFileBytes = 65'536;
+
 // Edge.
 constexpr size_t kMaxRequestHeaderBytes = 16'384;
 constexpr size_t kMaxRequestBodyBytes = size_t{8} * 1024 * 1024;
--- /dev/null
+++ b/include/comfreystand/log.h
@@ -0,0 +1,44 @@
+#ifndef COMFREYSTAND_LOG_H_
+#define COMFREYSTAND_LOG_H_
+
+#include <cstdint>
+#include <functional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+// Structured log lines, written for changes of state only; what happens often
+// is counted in metrics instead.
+namespace comfreystand {
+
+enum class LogLevel : uint8_t { kDebug, kInfo, kWarn, kError };
+
+struct LogField {
+  std::string key;
+  std::string value;
+};
+
+// One line. `event` is a fixed lower-case name such as "rules-installed".
+struct LogEntry {
+  LogLevel level = LogLevel::kInfo;
+  std::string_view component;
+  std::string_view event;
+  std::span<const LogField> fields;
+};
+
+using LogSink = std::function<void(const LogEntry& entry)>;
+
+// Sets where entries go. Entries are dropped until a sink is set, and again
+// after an empty one is. Call it from the loop's thread only.
+void SetLogSink(LogSink sink);
+
+// Writes an entry. Call it from the loop's thread only.
+void LogStateChange(std::string_view component,
+                    std::string_view event,
+                    const std::vector<LogField>& fields = {},
+                    LogLevel level = LogLevel::kInfo);
+
+}  // namespace comfreystand
+
+#endif  // COMFREYSTAND_LOG_H_
--- /dev/null
+++ b/include/comfreystand/settings.h
@@ -0,0 +1,124 @@
+#ifndef COMFREYSTAND_SETTINGS_H_
+#define COMFREYSTAND_SETTINGS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "comfreystand/base.h"
+#include "comfreystand/limits.h"
+#include "comfreystand/log.h"
+
+// Settings of one node process, read from an INI file.
+namespace comfreystand {
+
+// "a.b.c.d:port" or "[v6]:port"; empty when not set.
+struct NumericAddress {
+  auto operator<=>(const NumericAddress&) const = default;
+  bool IsSet() const { return !text.empty(); }
+  std::string text;
+};
+
+enum class LogFormat : uint8_t { kText, kJson };
+
+// A bearer token of the administration API, known by its SHA-256 only.
+struct AdminToken {
+  // Who holds the token, for the audit trail.
+  std::string name;
+  // 64 lower-case hexadecimal digits.
+  std::string sha256;
+};
+
+// Each field is described in the settings table, from which docs/SETTINGS.md
+// is generated.
+struct NodeSettings {
+  // [node]
+  int node_id = 0;
+  std::string node_name;
+  std::string cluster = "comfreystand";
+  std::string region;
+  std::string domain;
+  std::string site;
+
+  // [listen]
+  NumericAddress edge_address;
+  NumericAddress peer_address;
+  NumericAddress admin_address;
+  NumericAddress metrics_address;
+  NumericAddress advertised_edge_address;
+  NumericAddress advertised_peer_address;
+
+  // [platform]
+  NumericAddress store_address;
+  NumericAddress vm_list_address;
+  Duration store_timeout = limits::kStoreCallTimeout;
+  Duration vm_list_interval = std::chrono::seconds(1);
+  PerSecond store_call_rate{5};
+
+  // [peers]
+  std::vector<NumericAddress> seeds;
+  Duration peer_timeout = limits::kPeerCallTimeout;
+  Duration heartbeat_interval = std::chrono::seconds(1);
+
+  // [tls]
+  std::string admin_certificate;
+  std::string admin_key;
+  std::string peer_certificate;
+  std::string peer_key;
+  std::string peer_ca;
+
+  // [admin]
+  std::vector<AdminToken> admin_tokens;
+
+  // [limits]
+  Bytes max_request_header{limits::kMaxRequestHeaderBytes};
+  Bytes max_request_body{limits::kMaxRequestBodyBytes};
+  Bytes max_answer_body{limits::kMaxAnswerBodyBytes};
+  int max_caller_connections = 10'000;
+  int max_queued_requests = 4'096;
+  Duration header_timeout = std::chrono::seconds(10);
+  Duration idle_timeout = std::chrono::seconds(60);
+  Duration progress_timeout = std::chrono::seconds(2);
+  Duration default_deadline = std::chrono::seconds(5);
+  Duration answer_ttl = std::chrono::seconds(30);
+  Duration answer_ttl_in_change = std::chrono::seconds(5);
+  Duration drain_timeout = std::chrono::seconds(30);
+  Fraction retry_budget{0.10};
+  Fraction hedge_budget{0.05};
+  Fraction probe_budget{0.02};
+  PerSecond connect_rate{50};
+
+  // [log]
+  LogLevel log_level = LogLevel::kInfo;
+  LogFormat log_format = LogFormat::kText;
+};
+
+// One fault of a refused settings file. A missing key has the line of its
+// section, or of the end of the file.
+struct SettingError {
+  int line = 0;
+  std::string section;
+  std::string key;
+  std::string message;
+  std::string expected;
+  // Nearest valid word, or empty.
+  std::string suggestion;
+};
+
+struct SettingsResult {
+  // Set only when there are no errors.
+  std::optional<NodeSettings> settings;
+  std::vector<SettingError> errors;
+};
+
+// Parses and checks a whole settings file. Reports every error.
+SettingsResult ParseSettings(std::string_view text);
+
+// Describes every setting with its unit, range and default, in Markdown.
+std::string DescribeSettings();
+
+}  // namespace comfreystand
+
+#endif  // COMFREYSTAND_SETTINGS_H_
--- a/src/base/units.cc
+++ b/src/base/units.cc
@@ -90,27 +90,46 @@
   return NearestWord(suffix, names);
 }
 
+// Cost of an edit; a change of case costs less.
+constexpr size_t kEditCost = 2;
+constexpr size_t kCaseCost = 1;
+
+char LowerCase(char c) {
+  return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+size_t SubstitutionCost(char a, char b) {
+  if (a == b) {
+    return 0;
+  }
+  return LowerCase(a) == LowerCase(b) ? kCaseCost : kEditCost;
+}
+
 size_t EditDistance(std::string_view a, std::string_view b) {
   std::vector<size_t> row(b.size() + 1);
   for (size_t j = 0; j <= b.size(); ++j) {
-    row[j] = j;
+    row[j] = j * kEditCost;
   }
   for (size_t i = 1; i <= a.size(); ++i) {
     size_t diagonal = row[0];
-    row[0] = i;
+    row[0] = i * kEditCost;
     for (size_t j = 1; j <= b.size(); ++j) {
-      const size_t substituted = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
+      const size_t substituted =
+          diagonal + SubstitutionCost(a[i - 1], b[j - 1]);
       diagonal = row[j];
-      row[j] = std::min({row[j] + 1, row[j - 1] + 1, substituted});
+      row[j] =
+          std::min({row[j] + kEditCost, row[j - 1] + kEditCost, substituted});
     }
   }
   return row[b.size()];
 }
 
 std::string FormatNumber(double value) {
+  // Enough for any double below 1e18 in its shortest form.
   std::array<char, 64> buffer{};
   const auto result =
-      std::to_chars(buffer.data(), buffer.data() + buffer.size(), value);
+      std::to_chars(buffer.data(), buffer.data() + buffer.size(), value,
+                    std::chars_format::fixed);
   return std::string(buffer.data(), result.ptr);
 }
 
@@ -181,7 +200,7 @@
     return {};
   }
   std::string_view nearest;
-  size_t least = std::max<size_t>(1, word.size() / 2) + 1;
+  size_t least = kEditCost * (std::max<size_t>(1, word.size() / 2) + 1);
   for (std::string_view candidate : candidates) {
     const size_t distance = EditDistance(word, candidate);
     if (distance < least) {
--- /dev/null
+++ b/src/cli/settings_checks.cc
@@ -0,0 +1,138 @@
+#include "src/cli/settings_checks.h"
+
+#include <array>
+#include <map>
+
+namespace comfreystand::cli {
+namespace {
+
+using Clashes = std::vector<Clash>;
+
+struct ListenRow {
+  std::string_view key;
+  NumericAddress NodeSettings::*member;
+};
+
+constexpr std::array<ListenRow, 4> kListeners = {
+    {{"edge", &NodeSettings::edge_address},
+     {"peer", &NodeSettings::peer_address},
+     {"admin", &NodeSettings::admin_address},
+     {"metrics", &NodeSettings::metrics_address}}};
+
+// The kernel chooses the port, so that the address can't clash.
+bool HasAnyPort(const NumericAddress& address) {
+  return address.text.ends_with(":0");
+}
+
+bool HasAnyHost(const NumericAddress& address) {
+  return address.text.starts_with("0.0.0.0:") ||
+         address.text.starts_with("[::]:");
+}
+
+void CheckListenAddresses(const NodeSettings& settings, Clashes* clashes) {
+  std::map<std::string, std::string_view> keys;
+  for (const ListenRow& row : kListeners) {
+    const NumericAddress& address = settings.*row.member;
+    if (!address.IsSet() || HasAnyPort(address)) {
+      continue;
+    }
+    const auto [entry, is_new] = keys.emplace(address.text, row.key);
+    if (!is_new) {
+      clashes->push_back(
+          {"listen", std::string(row.key),
+           "has the same address as " + std::string(entry->second),
+           "an address of its own"});
+    }
+  }
+}
+
+void CheckAdvertised(const NodeSettings& settings, Clashes* clashes) {
+  struct Row {
+    std::string_view key;
+    NumericAddress NodeSettings::*listen;
+    NumericAddress NodeSettings::*advertised;
+  };
+  constexpr std::array<Row, 2> kRows = {
+      {{"edge", &NodeSettings::edge_address,
+        &NodeSettings::advertised_edge_address},
+       {"peer", &NodeSettings::peer_address,
+        &NodeSettings::advertised_peer_address}}};
+  for (const Row& row : kRows) {
+    if (HasAnyHost(settings.*row.listen) &&
+        !(settings.*row.advertised).IsSet()) {
+      clashes->push_back(
+          {"listen", std::string(row.key),
+           "listens on every address, so that no one is told "
+           "which to use",
+           "advertise-" + std::string(row.key) + " with the address to tell"});
+    }
+  }
+}
+
+void CheckTls(const NodeSettings& settings, Clashes* clashes) {
+  struct Row {
+    std::string_view key;
+    std::string NodeSettings::*member;
+    std::string_view needed_key;
+    std::string NodeSettings::*needed;
+  };
+  constexpr std::array<Row, 6> kRows = {
+      {{"admin-cert", &NodeSettings::admin_certificate, "admin-key",
+        &NodeSettings::admin_key},
+       {"admin-key", &NodeSettings::admin_key, "admin-cert",
+        &NodeSettings::admin_certificate},
+       {"peer-cert", &NodeSettings::peer_certificate, "peer-key",
+        &NodeSettings::peer_key},
+       {"peer-key", &NodeSettings::peer_key, "peer-cert",
+        &NodeSettings::peer_certificate},
+       {"peer-cert", &NodeSettings::peer_certificate, "peer-ca",
+        &NodeSettings::peer_ca},
+       {"peer-ca", &NodeSettings::peer_ca, "peer-cert",
+        &NodeSettings::peer_certificate}}};
+  for (const Row& row : kRows) {
+    if (!(settings.*row.member).empty() && (settings.*row.needed).empty()) {
+      clashes->push_back({"tls", std::string(row.key),
+                          "is of no use without " + std::string(row.needed_key),
+                          "both or neither"});
+    }
+  }
+}
+
+void CheckTokens(const NodeSettings& settings, Clashes* clashes) {
+  if (settings.admin_address.IsSet() && settings.admin_tokens.empty()) {
+    clashes->push_back({"listen", "admin",
+                        "is an administration API that no token opens",
+                        "at least one token.NAME in [admin]"});
+  }
+  std::map<std::string, std::string> holders;
+  for (const AdminToken& token : settings.admin_tokens) {
+    const auto [entry, is_new] = holders.emplace(token.sha256, token.name);
+    if (!is_new) {
+      clashes->push_back({"admin", "token." + token.name,
+                          "is the same token as that of " + entry->second,
+                          "a token of its own for each holder"});
+    }
+  }
+}
+
+void CheckTtls(const NodeSettings& settings, Clashes* clashes) {
+  if (settings.answer_ttl_in_change > settings.answer_ttl) {
+    clashes->push_back({"limits", "answer-ttl-in-change",
+                        "is longer than answer-ttl", "at most answer-ttl"});
+  }
+}
+
+constexpr std::array kChecks = {&CheckListenAddresses, &CheckAdvertised,
+                                &CheckTls, &CheckTokens, &CheckTtls};
+
+}  // namespace
+
+std::vector<Clash> FindClashes(const NodeSettings& settings) {
+  std::vector<Clash> clashes;
+  for (const auto& check : kChecks) {
+    check(settings, &clashes);
+  }
+  return clashes;
+}
+
+}  // namespace comfreystand::cli
--- /dev/null
+++ b/src/cli/settings_parse.cc
@@ -0,0 +1,257 @@
+#include <ini.h>
+
+#include <algorithm>
+#include <cstring>
+#include <map>
+#include <set>
+
+#include "comfreystand/settings.h"
+#include "comfreystand/units.h"
+#include "src/cli/settings_checks.h"
+#include "src/cli/settings_table.h"
+
+namespace comfreystand {
+namespace {
+
+using cli::Setting;
+
+// Longest line that inih reads as one.
+constexpr size_t kMaxLineBytes = 197;
+
+std::string Quoted(std::string_view text) {
+  return '"' + std::string(text) + '"';
+}
+
+// Reads settings through inih. Lines are counted and checked where inih takes
+// them, since it tells neither the line of a pair nor all faulty lines.
+class Parser {
+ public:
+  explicit Parser(std::string_view text) : rest_(text) {}
+
+  SettingsResult Run() {
+    ini_parse_stream(&Parser::NextLine, this, &Parser::OnPair, this);
+    CheckLineWasPair();
+    CheckMissing();
+    CheckClashes();
+    std::stable_sort(result_.errors.begin(), result_.errors.end(),
+                     [](const SettingError& a, const SettingError& b) {
+                       return a.line < b.line;
+                     });
+    if (result_.errors.empty()) {
+      result_.settings = std::move(settings_);
+    }
+    return std::move(result_);
+  }
+
+ private:
+  // Like fgets() over the text.
+  static char* NextLine(char* buffer, int size, void* stream) {
+    return static_cast<Parser*>(stream)->ReadLine(buffer,
+                                                  static_cast<size_t>(size));
+  }
+
+  static int OnPair(void* user,
+                    const char* section,
+                    const char* name,
+                    const char* value) {
+    static_cast<Parser*>(user)->TakePair(section, name,
+                                         value == nullptr ? "" : value);
+    return 1;
+  }
+
+  char* ReadLine(char* buffer, size_t size) {
+    CheckLineWasPair();
+    if (rest_.empty()) {
+      return nullptr;
+    }
+    const size_t end = rest_.find('\n');
+    std::string_view line = rest_.substr(0, end);
+    rest_.remove_prefix(end == std::string_view::npos ? rest_.size() : end + 1);
+    ++line_;
+    if (line.size() > std::min(kMaxLineBytes, size - 3)) {
+      AddError("", "", "the line is too long",
+               "at most " + std::to_string(kMaxLineBytes) + " bytes", "");
+      line = "";
+    } else if (line.find('\0') != std::string_view::npos) {
+      AddError("", "", "the line has a zero byte", "printable text", "");
+      line = "";
+    }
+    NoteLine(line);
+    std::memcpy(buffer, line.data(), line.size());
+    buffer[line.size()] = '\n';
+    buffer[line.size() + 1] = '\0';
+    return buffer;
+  }
+
+  // Notes whether inih should find a pair in the line.
+  void NoteLine(std::string_view line) {
+    const size_t begin = line.find_first_not_of(" \t\r");
+    if (begin == std::string_view::npos || line[begin] == ';' ||
+        line[begin] == '#') {
+      return;
+    }
+    if (line[begin] != '[') {
+      awaits_pair_ = true;
+      return;
+    }
+    const size_t end = line.find(']', begin);
+    if (end == std::string_view::npos) {
+      AddError("", "", "the section has no end", "a line such as [node]", "");
+      return;
+    }
+    TakeSection(line.substr(begin + 1, end - begin - 1));
+  }
+
+  void TakeSection(std::string_view section) {
+    const auto sections = cli::SettingSections();
+    if (std::find(sections.begin(), sections.end(), section) ==
+        sections.end()) {
+      AddError(section, "", "unknown section " + Quoted(section),
+               "a section of the settings table",
+               NearestWord(section, sections));
+      unknown_sections_.emplace(section);
+      return;
+    }
+    section_lines_.emplace(section, line_);
+  }
+
+  void CheckLineWasPair() {
+    if (awaits_pair_) {
+      AddError("", "", "the line is neither a section nor a setting",
+               "a line such as key = value", "");
+    }
+    awaits_pair_ = false;
+  }
+
+  void TakePair(const std::string& section,
+                const std::string& key,
+                const std::string& value) {
+    awaits_pair_ = false;
+    if (unknown_sections_.contains(section)) {
+      return;
+    }
+    const Setting* setting = FindSetting(section, key);
+    if (setting == nullptr) {
+      RejectKey(section, key);
+      return;
+    }
+    const auto [entry, is_new] = lines_.emplace(section + '.' + key, line_);
+    if (!is_new && !IsList(*setting)) {
+      AddError(section, key,
+               "is already set in line " + std::to_string(entry->second),
+               "one line only", "");
+      return;
+    }
+    cli::ValueFault fault;
+    if (!cli::ApplySetting(*setting, key, value, &settings_, &fault)) {
+      AddError(section, key, fault.message, fault.expected, fault.suggestion);
+    }
+  }
+
+  static const Setting* FindSetting(std::string_view section,
+                                    std::string_view key) {
+    for (const Setting& setting : cli::SettingsTable()) {
+      if (setting.section == section && cli::MatchesKey(setting, key)) {
+        return &setting;
+      }
+    }
+    return nullptr;
+  }
+
+  static bool IsList(const Setting& setting) {
+    return std::holds_alternative<std::vector<NumericAddress> NodeSettings::*>(
+        setting.member);
+  }
+
+  void RejectKey(std::string_view section, std::string_view key) {
+    std::vector<std::string_view> keys;
+    for (const Setting& setting : cli::SettingsTable()) {
+      if (setting.section == section) {
+        keys.push_back(setting.key);
+      }
+    }
+    if (section.empty()) {
+      AddError("", key, "stands before the first section", "[node] first", "");
+      return;
+    }
+    AddError(section, key, "unknown key " + Quoted(key),
+             "a key of [" + std::string(section) + "]", NearestWord(key, keys));
+  }
+
+  void CheckMissing() {
+    for (const Setting& setting : cli::SettingsTable()) {
+      const std::string section(setting.section);
+      if (setting.presence == cli::Presence::kRequired &&
+          !lines_.contains(section + '.' + std::string(setting.key))) {
+        const auto at = section_lines_.find(section);
+        result_.errors.push_back(
+            {at == section_lines_.end() ? std::max(line_, 1) : at->second,
+             section, std::string(setting.key), "is missing",
+             cli::DescribeSyntax(setting), ""});
+      }
+    }
+  }
+
+  void CheckClashes() {
+    for (cli::Clash& clash : cli::FindClashes(settings_)) {
+      const auto at = lines_.find(clash.section + '.' + clash.key);
+      result_.errors.push_back({at == lines_.end() ? line_ : at->second,
+                                std::move(clash.section), std::move(clash.key),
+                                std::move(clash.message),
+                                std::move(clash.expected), ""});
+    }
+  }
+
+  void AddError(std::string_view section,
+                std::string_view key,
+                std::string message,
+                std::string expected,
+                std::string_view suggestion) {
+    result_.errors.push_back({line_, std::string(section), std::string(key),
+                              std::move(message), std::move(expected),
+                              std::string(suggestion)});
+  }
+
+  std::string_view rest_;
+  int line_ = 0;
+  bool awaits_pair_ = false;
+  NodeSettings settings_;
+  SettingsResult result_;
+  // Lines of the keys seen, by "section.key".
+  std::map<std::string, int> lines_;
+  std::map<std::string, int, std::less<>> section_lines_;
+  std::set<std::string, std::less<>> unknown_sections_;
+};
+
+}  // namespace
+
+SettingsResult ParseSettings(std::string_view text) {
+  return Parser(text).Run();
+}
+
+std::string DescribeSettings() {
+  std::string out =
+      "# Settings\n\n"
+      "Written by `comfreystand settings describe`; each row is one entry of "
+      "the settings table. Numbers need their unit. Check a file with "
+      "`comfreystand settings check FILE`.\n";
+  const NodeSettings defaults;
+  std::string_view section;
+  for (const Setting& setting : cli::SettingsTable()) {
+    if (section != setting.section) {
+      section = setting.section;
+      out += "\n## [" + std::string(section) +
+             "]\n\n| key | value | default | meaning |\n|---|---|---|---|\n";
+    }
+    const std::string value = cli::PrintSetting(setting, defaults);
+    const bool required = setting.presence == cli::Presence::kRequired;
+    const std::string printed = value.empty() ? "none" : '`' + value + '`';
+    out += "| `" + std::string(setting.key) + "` | " +
+           cli::DescribeSyntax(setting) + " | " +
+           (required ? "required" : printed) + " | " +
+           std::string(setting.doc) + " |\n";
+  }
+  return out;
+}
+
+}  // namespace comfreystand
--- /dev/null
+++ b/src/cli/settings_report.h
@@ -0,0 +1,19 @@
+#ifndef COMFREYSTAND_CLI_SETTINGS_REPORT_H_
+#define COMFREYSTAND_CLI_SETTINGS_REPORT_H_
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+#include "comfreystand/settings.h"
+
+namespace comfreystand::cli {
+
+// Prints one line for each error of a settings file.
+void PrintSettingErrors(const std::string& path,
+                        const std::vector<SettingError>& errors,
+                        std::ostream& out);
+
+}  // namespace comfreystand::cli
+
+#endif  // COMFREYSTAND_CLI_SETTINGS_REPORT_H_
--- /dev/null
+++ b/src/cli/verbs.cc
@@ -0,0 +1,17 @@
+#include "src/cli/verbs.h"
+
+#include <array>
+
+namespace comfreystand::cli {
+namespace {
+
+constexpr std::array kVerbs = {&kRulesCheckVerb, &kRulesDiffVerb,
+                               &kSettingsCheckVerb, &kSettingsDescribeVerb};
+
+}  // namespace
+
+std::span<const Verb* const> AllVerbs() {
+  return kVerbs;
+}
+
+}  // namespace comfreystand::cli
--- /dev/null
+++ b/src/cli/verbs.h
@@ -0,0 +1,22 @@
+#ifndef COMFREYSTAND_CLI_VERBS_H_
+#define COMFREYSTAND_CLI_VERBS_H_
+
+#include <span>
+
+#include "comfreystand/cli.h"
+
+// All verbs of the program. A new verb is defined in a file of its own,
+// declared here and listed in verbs.cc.
+namespace comfreystand::cli {
+
+extern const Verb kRulesCheckVerb;
+extern const Verb kRulesDiffVerb;
+extern const Verb kSettingsCheckVerb;
+extern const Verb kSettingsDescribeVerb;
+
+// The verbs in the order of the help text.
+std::span<const Verb* const> AllVerbs();
+
+}  // namespace comfreystand::cli
+
+#endif  // COMFREYSTAND_CLI_VERBS_H_
