--- a/include/comfreystand/limits.h
+++ b/include/comfreystand/limits.h
@@ -18,7 +18,7 @@
 constexpr size_t kMaxRuleRegions = 64;
 constexpr size_t kMaxRuleDomains = 1'024;
 constexpr size_t kMaxRuleSites = 4'096;
-constexpr size_t kMaxRuleServices = 1'024;
+constexpr size_t kMaxRuleServices = 256;
 constexpr size_t kMaxRuleClasses = 32;
 constexpr int kMaxEntryVmsPerDomain = 10'000;
 // Share of all traffic and time of one change when the rule file has no cap.
@@ -28,19 +28,87 @@
 // Settings.
 constexpr size_t kMaxSettingsFileBytes = 65'536;
 
+// Dispatch.
+constexpr size_t kMaxServices = 256;
+constexpr size_t kMaxBackends = 16'384;
+constexpr size_t kLearnedDurations = 4'096;
+constexpr size_t kMaxTrackedCallers = 8'192;
+constexpr std::chrono::milliseconds kBalanceInterval = 50ms;
+constexpr std::chrono::milliseconds kMinRetryAfter = 100ms;
+constexpr std::chrono::seconds kMaxRetryAfter = 30s;
+
+// Tickets.
+constexpr size_t kMaxTicketBytes = 128;
+constexpr size_t kTicketsPerWindow = 4'096;
+constexpr size_t kMaxTicketWindows = 1'024;
+
 // Edge.
 constexpr size_t kMaxRequestHeaderBytes = 16'384;
-constexpr size_t kMaxRequestBodyBytes = size_t{8} * 1024 * 1024;
-constexpr size_t kMaxAnswerBodyBytes = size_t{64} * 1024 * 1024;
+constexpr size_t kMaxRequestBodyBytes = size_t{8} << 20;
+constexpr size_t kMaxAnswerBodyBytes = size_t{64} << 20;
 
 // Platform.
-constexpr size_t kMaxStoreValueBytes = size_t{1024} * 1024;
+constexpr size_t kMaxStoreValueBytes = size_t{1} << 20;
 constexpr std::chrono::milliseconds kStoreCallTimeout = 2'000ms;
 constexpr std::chrono::milliseconds kStoreWatchTimeout = 30'000ms;
 
+// Acceptance.
+constexpr size_t kMaxChangeIdBytes = 128;
+constexpr size_t kMaxAuditSegmentBytes = 512 * 1024;
+constexpr size_t kAuditEntriesPerSegment = 16;
+// Unconfirmed entries that the document gathers before they are dropped.
+constexpr size_t kAuditDropEntries = 8;
+constexpr size_t kAuditDropBytes = 64 * 1024;
+constexpr std::chrono::hours kAuditRetention = 24h * 800;
+
+// Member.
+constexpr std::chrono::milliseconds kHeartbeatPeriod = 1'000ms;
+// Silence after which a member counts as dead.
+constexpr std::chrono::milliseconds kMemberTimeout = 7'000ms;
+// Age after which another failure domain's summary counts as lost.
+constexpr std::chrono::milliseconds kSummaryTimeout = 15'000ms;
+// Time that dead members are remembered, so that late messages are ignored.
+constexpr std::chrono::minutes kDeadRetention = 10min;
+constexpr size_t kMaxDomainMembers = 256;
+constexpr size_t kMaxDomains = 128;
+constexpr size_t kMaxSiteLoads = 256;
+constexpr size_t kMaxLeavingBackends = 4'096;
+constexpr std::chrono::hours kLeavingRetention = 6h;
+constexpr std::chrono::milliseconds kSummaryPeriod = 2'000ms;
+constexpr std::chrono::milliseconds kLoadPeriod = 5'000ms;
+
+// Hours.
+constexpr std::chrono::hours kHourUnstoredRetention = 72h;
+constexpr std::chrono::hours kHourStoredRetention = 24h * 800;
+constexpr size_t kMaxHourRecords = 65'536;
+
 // Peer.
-constexpr size_t kMaxPeerMessageBytes = size_t{2} * 1024 * 1024;
+constexpr size_t kMaxPeerMessageBytes = size_t{2} << 20;
 constexpr std::chrono::milliseconds kPeerCallTimeout = 1'000ms;
+constexpr std::chrono::milliseconds kPeerReconnectBackoff = 2'000ms;
+
+// Look-up.
+constexpr size_t kMaxBlocks = 4'000'000;
+constexpr size_t kMaxSites = 4'096;
+constexpr size_t kMaxOrders = 65'535;
+constexpr size_t kMaxOrderSites = 8;
+constexpr size_t kMaxDeltaOrders = 4'096;
+// Length of the client prefix that is steered as one unit.
+constexpr int kUnitBitsIpv4 = 24;
+constexpr int kUnitBitsIpv6 = 48;
+constexpr std::chrono::seconds kAnswerTtl = 30s;
+constexpr std::chrono::seconds kAnswerTtlInChange = 5s;
+
+// Changes.
+// Period over which moved and total traffic are compared.
+constexpr std::chrono::seconds kCapPeriod = 5s;
+// Share of one period's allowed moves that may be saved up, and that the
+// allowance is kept below the cap by.
+constexpr double kCapCreditShare = 0.05;
+// The share of units that move is raised by a step a period while moved
+// traffic is below this share of the cap.
+constexpr double kCapRaiseBelow = 0.8;
+constexpr double kCapRaiseStep = 0.01;
 
 }  // namespace comfreystand::limits
 
