--- a/include/comfreystand/limits.h
+++ b/include/comfreystand/limits.h
@@ -18,13 +18,16 @@
 constexpr size_t kMaxRuleRegions = 64;
 constexpr size_t kMaxRuleDomains = 1'024;
 constexpr size_t kMaxRuleSites = 4'096;
-constexpr size_t kMaxRuleServices = 1'024;
+constexpr size_t kMaxRuleServices = 256;
 constexpr size_t kMaxRuleClasses = 32;
 constexpr int kMaxEntryVmsPerDomain = 10'000;
 // Share of all traffic and time of one change when the rule file has no cap.
 constexpr double kDefaultCapShare = 0.10;
 constexpr std::chrono::seconds kDefaultCapRamp = 60s;
 
+// Settings.
+constexpr size_t kMaxSettingsFileBytes = 65'536;
+
 // Dispatch.
 constexpr size_t kMaxServices = 256;
 constexpr size_t kMaxBackends = 16'384;
