--- /dev/null
+++ b/src/member/gossip.cc
@@ -0,0 +1,161 @@
+#include <algorithm>
+#include <utility>
+
+#include "src/member/membership_impl.h"
+
+namespace comfreystand::member {
+namespace {
+
+using std::chrono_literals::operator""s;
+
+// Time that news of leaving backend servers rides on every message.
+constexpr Duration kLeavingNews = 10s;
+// Periods between tries to find members that dropped out of sight.
+constexpr uint64_t kLostContactPeriods = 5;
+// Share of members that ask other failure domains when their bridges fail.
+constexpr uint32_t kAcrossFallback = 8;
+
+}  // namespace
+
+void Membership::Impl::GossipInDomain() {
+  std::vector<const Member*> live = view_.Live();
+  std::erase_if(
+      live, [](const Member* member) { return member->info.address.empty(); });
+  const size_t count = std::min(live.size(), static_cast<size_t>(init_.fanout));
+  for (size_t i = 0; i < count; ++i) {
+    std::swap(live[i], live[i + Below(live.size() - i)]);
+    SendDigest(live[i]->info.address, live[i]->info.node, i == 0);
+  }
+  if (count == 0 || ticks_ % kLostContactPeriods == 0) {
+    const std::string address = PickLostContact();
+    if (!address.empty()) {
+      SendDigest(address, NodeId(), true);
+    }
+  }
+}
+
+std::string Membership::Impl::PickLostContact() {
+  std::vector<std::string> lost = contacts_[init_.domain];
+  for (const auto& [node, member] : view_.All()) {
+    const MemberInfo& info = member.info;
+    if (info.state != MemberState::kDead) {
+      std::erase(lost, info.address);
+    } else if (std::find(lost.begin(), lost.end(), info.address) ==
+               lost.end()) {
+      lost.push_back(info.address);
+    }
+  }
+  std::erase(lost, std::string());
+  return lost.empty() ? std::string() : lost[Below(lost.size())];
+}
+
+void Membership::Impl::SendDigest(const std::string& address,
+                                  NodeId node,
+                                  bool with_marks) {
+  wire::Envelope request;
+  request.set_from_node(init_.node.value);
+  request.set_from_incarnation(self.info.incarnation.value);
+  wire::MemberMessage* message = request.mutable_member();
+  FillHeader(message);
+  FillRecords(nullptr, message);
+  FillNeeds(message);
+  if (with_marks) {
+    summaries_.FillMarks(message);
+  }
+  leaving.Fill(message, loop_.Now() - kLeavingNews);
+  ++stats.calls;
+  transport_.Call(
+      address, request,
+      [self = shared_from_this(), node](bool ok, const wire::Envelope& reply) {
+        self->view_.NoteCall(node, ok);
+        self->stats.failed_calls += ok ? 0 : 1;
+        self->has_peers |= ok;
+        if (ok) {
+          self->Take(reply.member());
+        }
+      });
+}
+
+std::vector<NameKey> Membership::Impl::OtherDomains() const {
+  std::vector<NameKey> domains;
+  for (const auto& [domain, addresses] : contacts_) {
+    domains.push_back(domain);
+  }
+  for (const auto& [domain, summary] : summaries_.All()) {
+    if (!contacts_.contains(domain)) {
+      domains.push_back(domain);
+    }
+  }
+  std::erase(domains, init_.domain);
+  return domains;
+}
+
+void Membership::Impl::GossipAcross() {
+  const bool bridge = OwnRank() < init_.bridges;
+  const bool stale =
+      summaries_.OldestAge(loop_.Now()) > Duration(limits::kSummaryTimeout);
+  const bool starting = summaries_.All().size() <= 1;
+  if (!bridge && !((stale || starting) && Below(kAcrossFallback) == 0)) {
+    return;
+  }
+  std::vector<NameKey> domains = OtherDomains();
+  const size_t wanted = bridge ? static_cast<size_t>(init_.bridge_fanout) : 1;
+  const size_t count = std::min(domains.size(), wanted);
+  for (size_t i = 0; i < count; ++i) {
+    std::swap(domains[i], domains[i + Below(domains.size() - i)]);
+    AskDomain(domains[i]);
+  }
+}
+
+std::string Membership::Impl::PickBridge(NameKey domain) {
+  std::vector<std::pair<uint64_t, std::string>> ranked;
+  const auto summary = summaries_.All().find(domain);
+  if (summary != summaries_.All().end()) {
+    for (const MemberInfo& member : summary->second.members) {
+      if (member.state == MemberState::kAlive) {
+        ranked.emplace_back(RankOf(member.node, domain), member.address);
+      }
+    }
+  }
+  const bool failing = failures_across_[domain] > 0;
+  if (ranked.size() > static_cast<size_t>(init_.bridges) && !failing) {
+    std::partial_sort(ranked.begin(), ranked.begin() + init_.bridges,
+                      ranked.end());
+    ranked.resize(static_cast<size_t>(init_.bridges));
+  }
+  if (ranked.empty() || (failing && Below(2) == 0)) {
+    const std::vector<std::string>& contacts = contacts_[domain];
+    if (!contacts.empty()) {
+      return contacts[Below(contacts.size())];
+    }
+  }
+  return ranked.empty() ? std::string() : ranked[Below(ranked.size())].second;
+}
+
+void Membership::Impl::AskDomain(NameKey domain) {
+  const std::string address = PickBridge(domain);
+  if (address.empty()) {
+    return;
+  }
+  wire::Envelope request;
+  request.set_from_node(init_.node.value);
+  request.set_from_incarnation(self.info.incarnation.value);
+  wire::MemberMessage* message = request.mutable_member();
+  FillHeader(message);
+  summaries_.FillMarks(message);
+  leaving.Fill(message, loop_.Now() - kLeavingNews);
+  ++stats.calls;
+  transport_.Call(address, request,
+                  [self = shared_from_this(), domain](
+                      bool ok, const wire::Envelope& reply) {
+                    int& failures = self->failures_across_[domain];
+                    failures = ok ? 0 : failures + 1;
+                    self->stats.failed_calls += ok ? 0 : 1;
+                    self->has_peers |= ok;
+                    if (ok) {
+                      self->Take(reply.member());
+                    }
+                  });
+}
+
+}  // namespace comfreystand::member
--- /dev/null
+++ b/src/member/leaving_set.h
@@ -0,0 +1,41 @@
+#ifndef COMFREYSTAND_SRC_MEMBER_LEAVING_SET_H_
+#define COMFREYSTAND_SRC_MEMBER_LEAVING_SET_H_
+
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "comfreystand/member.h"
+
+namespace comfreystand::member {
+
+// The backend servers known to be leaving. Grows by union, so the order of
+// messages does not matter.
+class LeavingSet {
+ public:
+  // Returns true when the backend server was not known to be leaving.
+  bool Add(const LeavingBackend& backend, TimePoint now);
+  bool Contains(std::string_view name, std::string_view address) const;
+  void Expire(WallSeconds now);
+
+  // Equal digests mean equal sets.
+  uint64_t Digest() const { return digest_; }
+  // Adds all records, or only those learned after `after`.
+  void Fill(wire::MemberMessage* message, TimePoint after) const;
+  std::vector<LeavingBackend> All() const;
+
+ private:
+  struct Entry {
+    LeavingBackend backend;
+    TimePoint learned;
+  };
+
+  std::map<uint64_t, Entry> entries_;
+  uint64_t digest_ = 0;
+};
+
+LeavingBackend FromWire(const wire::LeaveRecord& record);
+
+}  // namespace comfreystand::member
+
+#endif  // COMFREYSTAND_SRC_MEMBER_LEAVING_SET_H_
--- /dev/null
+++ b/src/member/membership_impl.cc
@@ -0,0 +1,294 @@
+#include "src/member/membership_impl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace comfreystand::member {
+namespace {
+
+using std::chrono_literals::operator""ms;
+
+// Least time between two rounds of a hurry.
+constexpr Duration kHurryGap = 150ms;
+// Beats by which another life must advance to prove that it runs; above what
+// its last beats may still advance in passing from node to node.
+constexpr uint64_t kRivalBeats = 10;
+
+}  // namespace
+
+Membership::Impl::Impl(const MembershipInit& init,
+                       Loop& loop,
+                       peer::Transport& transport)
+    : init_(init),
+      loop_(loop),
+      transport_(transport),
+      random_(init.seed),
+      view_(init.node, &stats),
+      summaries_(init.domain) {
+  self.info.node = init.node;
+  self.info.incarnation = init.incarnation;
+  self.info.address = init.address;
+  self.info.site = init.site;
+}
+
+void Membership::Impl::Start() {
+  last_tick_ = loop_.Now();
+  Tick();
+}
+
+void Membership::Impl::SetContacts(std::vector<Contact> contacts) {
+  contacts_.clear();
+  for (Contact& contact : contacts) {
+    if (contact.address != init_.address) {
+      contacts_[contact.domain].push_back(std::move(contact.address));
+    }
+  }
+}
+
+void Membership::Impl::Tick() {
+  NotePause();
+  ++self.beat;
+  ++ticks_;
+  view_.Expire(loop_.Now());
+  OutliveRival();
+  if (!superseded) {
+    PublishSummary();
+    Round();
+  }
+  // A tenth of jitter keeps the nodes' rounds apart.
+  const int64_t period = init_.period.count();
+  const Duration wait{
+      period * 9 / 10 +
+      static_cast<int64_t>(Below(static_cast<size_t>(period / 5 + 1)))};
+  loop_.PostDelayed(wait, [self = shared_from_this()] { self->Tick(); });
+}
+
+void Membership::Impl::NotePause() {
+  const TimePoint now = loop_.Now();
+  const Duration gap = now - last_tick_ - init_.period;
+  last_tick_ = now;
+  if (gap > 2 * init_.period || gap < -2 * init_.period) {
+    // Nobody was heard meanwhile, for no fault of theirs.
+    ++stats.pauses;
+    view_.Shift(gap);
+    summaries_.Shift(gap);
+    next_summary_ = now;
+    next_loads_ = now;
+    last_round_ = TimePoint{};
+    rival_.since += gap;
+  }
+}
+
+void Membership::Impl::NoteSelf(const wire::MemberRecord& record) {
+  const Incarnation incarnation{record.incarnation()};
+  Incarnation& own = self.info.incarnation;
+  if (incarnation < own) {
+    return;
+  }
+  if (incarnation == own) {
+    // Only another life can have counted further than this one.
+    if (record.beat() > self.beat) {
+      own.value += 1;
+    }
+    return;
+  }
+  if (incarnation != rival_.incarnation) {
+    rival_ = {incarnation, record.beat(), loop_.Now()};
+    return;
+  }
+  superseded |= record.beat() >= rival_.first_beat + kRivalBeats;
+}
+
+void Membership::Impl::OutliveRival() {
+  const bool silent = loop_.Now() - rival_.since > 2 * limits::kMemberTimeout;
+  if (rival_.incarnation > self.info.incarnation && silent) {
+    self.info.incarnation.value = rival_.incarnation.value + 1;
+  }
+}
+
+void Membership::Impl::PublishSummary() {
+  const TimePoint now = loop_.Now();
+  if (now < next_summary_ || OwnRank() != 0) {
+    return;
+  }
+  next_summary_ = now + limits::kSummaryPeriod;
+  const bool with_loads = now >= next_loads_;
+  if (with_loads) {
+    next_loads_ = now + limits::kLoadPeriod;
+  }
+  std::vector<MemberInfo> members = DomainMembers();
+  std::erase_if(members, [](const MemberInfo& member) {
+    return member.state == MemberState::kDead || member.address.empty();
+  });
+  summaries_.Publish(members, with_loads, init_.incarnation.value, now);
+}
+
+void Membership::Impl::Round() {
+  last_round_ = loop_.Now();
+  GossipInDomain();
+  GossipAcross();
+}
+
+void Membership::Impl::Hurry() {
+  if (hurry_pending_ || superseded) {
+    return;
+  }
+  hurry_pending_ = true;
+  const Duration since = loop_.Now() - last_round_;
+  const Duration wait = std::clamp(kHurryGap - since, Duration{0}, kHurryGap);
+  loop_.PostDelayed(wait, [self = shared_from_this()] {
+    self->hurry_pending_ = false;
+    self->Round();
+  });
+}
+
+void Membership::Impl::FillHeader(wire::MemberMessage* message) const {
+  message->set_rule_version(carrier ? carrier->Version().value : 0);
+  message->set_ready(carrier && carrier->IsReady());
+  message->set_domain(init_.domain.value);
+  message->set_leaving_digest(leaving.Digest());
+  FillRecord(self, true, message->add_records());
+}
+
+void Membership::Impl::FillRecords(const wire::MemberMessage* request,
+                                   wire::MemberMessage* message) const {
+  std::vector<uint32_t> needed;
+  if (request) {
+    needed.assign(request->need_address().begin(),
+                  request->need_address().end());
+  }
+  for (const Member* member : view_.Live()) {
+    const uint32_t node = member->info.node.value;
+    const bool with_address =
+        std::find(needed.begin(), needed.end(), node) != needed.end();
+    FillRecord(*member, with_address, message->add_records());
+  }
+}
+
+void Membership::Impl::FillNeeds(wire::MemberMessage* message) const {
+  for (const Member* member : view_.Live()) {
+    if (member->info.address.empty()) {
+      message->add_need_address(member->info.node.value);
+    }
+  }
+}
+
+void Membership::Impl::Take(const wire::MemberMessage& message) {
+  const TimePoint now = loop_.Now();
+  if (message.domain() == init_.domain.value) {
+    for (const wire::MemberRecord& record : message.records()) {
+      if (NodeId(record.node()) == init_.node) {
+        NoteSelf(record);
+      } else {
+        view_.Merge(record, now);
+      }
+    }
+  }
+  summaries_.NoteMarks(message);
+  summaries_.Merge(message, now);
+  for (const wire::LeaveRecord& record : message.leaving()) {
+    AddLeaving(FromWire(record));
+  }
+  if (carrier && message.records_size() > 0) {
+    carrier->OnPeerVersion({message.rule_version()},
+                           message.records(0).address(), message.ready());
+  }
+}
+
+bool Membership::Impl::AddLeaving(const LeavingBackend& backend) {
+  if (!leaving.Add(backend, loop_.Now())) {
+    return false;
+  }
+  if (leaving_listener) {
+    leaving_listener(backend);
+  }
+  Hurry();
+  return true;
+}
+
+void Membership::Impl::Handle(const wire::Envelope& request,
+                              wire::Envelope* reply) {
+  const wire::MemberMessage& message = request.member();
+  if (superseded || !request.has_member()) {
+    return;
+  }
+  reply->set_from_node(init_.node.value);
+  reply->set_from_incarnation(self.info.incarnation.value);
+  wire::MemberMessage* answer = reply->mutable_member();
+  const bool same_domain = message.domain() == init_.domain.value;
+  const Member* sender = view_.Find(NodeId(request.from_node()));
+  const bool is_stale =
+      same_domain && sender &&
+      request.from_incarnation() < sender->info.incarnation.value;
+  Take(message);
+  FillHeader(answer);
+  if (message.pull_document()) {
+    if (carrier && carrier->Version().value > message.rule_version()) {
+      answer->set_document(carrier->Bytes());
+    }
+    return;
+  }
+  if (same_domain && message.records_size() > 0) {
+    FillRecords(&message, answer);
+    FillNeeds(answer);
+  }
+  if (is_stale) {
+    // Tells an earlier life, or a new one with a slow clock, of the later one.
+    FillRecord(*sender, false, answer->add_records());
+  }
+  if (message.has_marks()) {
+    summaries_.FillNewer(message, answer);
+  }
+  if (message.leaving_digest() != leaving.Digest()) {
+    leaving.Fill(answer, TimePoint::min());
+  }
+}
+
+std::vector<MemberInfo> Membership::Impl::DomainMembers() const {
+  std::vector<MemberInfo> members{self.info};
+  for (const auto& [node, member] : view_.All()) {
+    members.push_back(member.info);
+  }
+  std::sort(
+      members.begin(), members.end(),
+      [](const MemberInfo& a, const MemberInfo& b) { return a.node < b.node; });
+  return members;
+}
+
+std::vector<MemberInfo> Membership::Impl::Ranked() const {
+  std::vector<MemberInfo> members = DomainMembers();
+  std::erase_if(members, [](const MemberInfo& member) {
+    return member.state != MemberState::kAlive;
+  });
+  std::sort(members.begin(), members.end(),
+            [domain = init_.domain](const MemberInfo& a, const MemberInfo& b) {
+              return RankOf(a.node, domain) < RankOf(b.node, domain);
+            });
+  return members;
+}
+
+int Membership::Impl::OwnRank() const {
+  const uint64_t own = RankOf(init_.node, init_.domain);
+  int rank = 0;
+  for (const auto& [node, member] : view_.All()) {
+    rank += member.info.state == MemberState::kAlive &&
+            RankOf(node, init_.domain) < own;
+  }
+  return rank;
+}
+
+std::vector<DomainInfo> Membership::Impl::Domains() const {
+  const TimePoint now = loop_.Now();
+  std::vector<DomainInfo> domains;
+  for (const auto& [domain, summary] : summaries_.All()) {
+    DomainInfo& info = domains.emplace_back();
+    info.domain = domain;
+    info.age = now - summary.last_heard;
+    info.current = info.age <= Duration(limits::kSummaryTimeout);
+    info.members = domain == init_.domain ? DomainMembers() : summary.members;
+    info.loads = summary.loads;
+  }
+  return domains;
+}
+
+}  // namespace comfreystand::member
