--- a/include/comfreystand/acceptance.h
+++ b/include/comfreystand/acceptance.h
@@ -87,6 +87,8 @@
   RuleVersion version;
   std::string diff;
   std::vector<RuleError> errors;
+  // Encoded document of an accepted change, or of a later one that holds it.
+  std::string document;
 };
 
 using AcceptCallback = std::function<void(const AcceptResult& result)>;
--- a/include/comfreystand/member.h
+++ b/include/comfreystand/member.h
@@ -250,9 +250,13 @@
   void SetListener(Listener listener);
   void Start();
 
-  // Reads the store now, for example after an accepted change.
+  // Reads the store now.
   void ReadStore();
 
+  // Takes the document of a change that this node's platform::Acceptance got
+  // accepted, so that it spreads also when the store is lost right after.
+  void OfferAccepted(const std::string& bytes);
+
   const RuleDocument& Document() const;
   RuleSpreadStatus GetStatus() const;
   const RuleSpreadStats& GetStats() const;
--- a/src/member/membership_impl.cc
+++ b/src/member/membership_impl.cc
@@ -32,7 +32,7 @@
 }
 
 void Membership::Impl::Start() {
-  last_tick_ = loop_.Now();
+  last_event_ = loop_.Now();
   Tick();
 }
 
@@ -46,7 +46,7 @@
 }
 
 void Membership::Impl::Tick() {
-  NotePause();
+  CheckClock();
   ++self.beat;
   ++ticks_;
   view_.Expire(loop_.Now());
@@ -63,20 +63,21 @@
   loop_.PostDelayed(wait, [self = shared_from_this()] { self->Tick(); });
 }
 
-void Membership::Impl::NotePause() {
+void Membership::Impl::CheckClock() {
   const TimePoint now = loop_.Now();
-  const Duration gap = now - last_tick_ - init_.period;
-  last_tick_ = now;
-  if (gap > 2 * init_.period || gap < -2 * init_.period) {
-    // Nobody was heard meanwhile, for no fault of theirs.
-    ++stats.pauses;
-    view_.Shift(gap);
-    summaries_.Shift(gap);
-    next_summary_ = now;
-    next_loads_ = now;
-    last_round_ = TimePoint{};
-    rival_.since += gap;
+  const Duration gap = now - last_event_;
+  last_event_ = now;
+  if (gap >= Duration{0} && gap <= 3 * init_.period) {
+    return;
   }
+  // Nobody was heard meanwhile, for no fault of theirs.
+  ++stats.pauses;
+  view_.Shift(gap);
+  summaries_.Shift(gap);
+  rival_.since += gap;
+  next_summary_ = now;
+  next_loads_ = now;
+  last_round_ = TimePoint{};
 }
 
 void Membership::Impl::NoteSelf(const wire::MemberRecord& record) {
@@ -174,6 +175,7 @@
 }
 
 void Membership::Impl::Take(const wire::MemberMessage& message) {
+  CheckClock();
   const TimePoint now = loop_.Now();
   if (message.domain() == init_.domain.value) {
     for (const wire::MemberRecord& record : message.records()) {
--- a/src/member/membership_impl.h
+++ b/src/member/membership_impl.h
@@ -48,7 +48,8 @@
 
   void Tick();
   void Round();
-  void NotePause();
+  // Notices pauses of this process and jumps of its clock.
+  void CheckClock();
   void NoteSelf(const wire::MemberRecord& record);
   void OutliveRival();
   void PublishSummary();
@@ -79,7 +80,7 @@
   std::map<NameKey, std::vector<std::string>> contacts_;
   std::map<NameKey, int> failures_across_;
   Rival rival_;
-  TimePoint last_tick_{};
+  TimePoint last_event_{};
   TimePoint last_round_{};
   TimePoint next_summary_{};
   TimePoint next_loads_{};
--- a/src/member/rule_spread.cc
+++ b/src/member/rule_spread.cc
@@ -27,6 +27,10 @@
   impl_->Read();
 }
 
+void RuleSpread::OfferAccepted(const std::string& bytes) {
+  impl_->OfferAccepted(bytes);
+}
+
 const RuleDocument& RuleSpread::Document() const {
   return impl_->document;
 }
--- a/src/member/rule_spread_impl.cc
+++ b/src/member/rule_spread_impl.cc
@@ -95,6 +95,11 @@
 }
 
 void RuleSpread::Impl::Watch() {
+  if (!in_contact_) {
+    // Answers at once, so that those behind need not watch as well.
+    Read();
+    return;
+  }
   store_.Watch(init_.rule_key, revision_, OnStore());
 }
 
@@ -102,8 +107,13 @@
   store_.Get(init_.rule_key, OnStore());
 }
 
+void RuleSpread::Impl::SetContact(bool contact) {
+  in_contact_ = contact;
+  membership_.SetStoreContact(contact);
+}
+
 void RuleSpread::Impl::Backoff() {
-  membership_.SetStoreContact(false);
+  SetContact(false);
   next_call_ = loop_.Now() + Jitter(backoff_);
   backoff_ = std::min(backoff_ * 2, kMaxBackoff);
 }
@@ -122,7 +132,7 @@
   store_empty_ = empty;
   last_fresh_ = loop_.Now();
   revision_ = entry.revision;
-  membership_.SetStoreContact(ShouldWatch());
+  SetContact(ShouldWatch());
   if (empty) {
     if (document.version > RuleVersion{}) {
       Repair(platform::Revision{});
--- a/src/member/rule_spread_impl.h
+++ b/src/member/rule_spread_impl.h
@@ -26,6 +26,7 @@
 
   void Start();
   void Read();
+  void OfferAccepted(const std::string& accepted) { Offer(accepted, nullptr); }
   void PeerVersion(RuleVersion version, const std::string& address, bool ready);
   RuleSpreadStatus Status() const;
 
@@ -49,6 +50,7 @@
   void Repair(platform::Revision revision);
   void CompleteAudit();
   void JudgeReadiness();
+  void SetContact(bool contact);
   void Backoff();
   Duration Jitter(Duration around);
 
@@ -73,6 +75,7 @@
   Duration backoff_ = std::chrono::milliseconds(500);
   uint64_t call_ = 0;
   bool call_open_ = false;
+  bool in_contact_ = false;
   bool pull_open_ = false;
   bool store_answered_ = false;
   bool store_empty_ = false;
--- a/src/platform/audit.cc
+++ b/src/platform/audit.cc
@@ -64,6 +64,18 @@
 
 }  // namespace
 
+bool HasChange(const std::vector<AuditEntry>& entries,
+               const std::string& change_id,
+               RuleVersion* version) {
+  for (const AuditEntry& entry : entries) {
+    if (entry.change_id == change_id) {
+      *version = entry.version;
+      return true;
+    }
+  }
+  return false;
+}
+
 std::string EncodeAuditSegment(const std::vector<AuditEntry>& entries) {
   json list = json::array();
   for (const AuditEntry& entry : entries) {
--- a/src/platform/audit.h
+++ b/src/platform/audit.h
@@ -63,6 +63,11 @@
   uint64_t writes_ = 0;
 };
 
+// True when `entries` hold the change; gives the version it was accepted as.
+bool HasChange(const std::vector<AuditEntry>& entries,
+               const std::string& change_id,
+               RuleVersion* version);
+
 }  // namespace comfreystand::platform
 
 #endif  // COMFREYSTAND_SRC_PLATFORM_AUDIT_H_
