--- a/src/steer/admission_learn.cc
+++ b/src/steer/admission_learn.cc
@@ -35,15 +35,19 @@
   if (entry != nullptr && entry->count >= kMinObservations) {
     return Duration(static_cast<int64_t>(entry->mean_us));
   }
-  if (key.service.value < class_.size()) {
+  if (KnowsClass(key)) {
     const Mean& mean = class_[key.service.value][key.request_class.value];
-    if (mean.count >= kMinObservations) {
-      return Duration(static_cast<int64_t>(mean.us));
-    }
+    return Duration(static_cast<int64_t>(mean.us));
   }
   return TypicalShort(key.service);
 }
 
+bool DurationLearner::KnowsClass(const WorkKey& key) const {
+  return key.service.value < class_.size() &&
+         class_[key.service.value][key.request_class.value].count >=
+             kMinObservations;
+}
+
 Duration DurationLearner::TypicalShort(ServiceId service) const {
   if (service.value >= short_.size() ||
       short_[service.value].count < kMinObservations) {
--- a/src/steer/admission_learn.h
+++ b/src/steer/admission_learn.h
@@ -32,6 +32,9 @@
   // that of its class.
   Duration Expected(const WorkKey& key) const;
 
+  // True when Expected() rests on work of the same class.
+  bool KnowsClass(const WorkKey& key) const;
+
   // Latency of typical short work of a service.
   Duration TypicalShort(ServiceId service) const;
 
--- a/src/steer/balance_backend.cc
+++ b/src/steer/balance_backend.cc
@@ -10,6 +10,9 @@
 constexpr uint8_t kConnectFailures = 2;
 // Time after which a report of other nodes' work counts for 1/e.
 constexpr double kForeignFadeMicros = 300'000;
+// Weights of a load report and of a balance interval in long-run averages.
+constexpr double kReportWeight = 0.1;
+constexpr double kIntervalWeight = 0.01;
 
 }  // namespace
 
@@ -55,6 +58,27 @@
   return std::clamp(allowed, 1U, slots);
 }
 
+void Backend::OnBusyReport(double busy) {
+  mean_busy_ += (busy - mean_busy_) * kReportWeight;
+}
+
+void Backend::AverageOwn() {
+  mean_own_ += (in_flight - mean_own_) * kIntervalWeight;
+}
+
+double Backend::ChanceOfWait(TimePoint now) const {
+  // Other nodes' requests come independently of each other: Poisson.
+  const double mean =
+      std::max(ForeignBusy(now), std::max(0.0, mean_busy_ - mean_own_));
+  double term = std::exp(-mean);
+  double enough_free = 0;
+  for (uint32_t others = 0; others + in_flight < slots; ++others) {
+    enough_free += term;
+    term *= mean / (others + 1);
+  }
+  return std::max(0.0, 1 - enough_free);
+}
+
 double Backend::ForeignBusy(TimePoint now) const {
   const double age = static_cast<double>((now - foreign_at_).count());
   return foreign_busy_ * std::exp(-age / kForeignFadeMicros);
--- a/src/steer/balance_backend.h
+++ b/src/steer/balance_backend.h
@@ -26,6 +26,14 @@
   // Slots that the node may fill at `now`, by weight and warmth.
   uint32_t Allowance(uint32_t warm_after, bool siblings_warm) const;
 
+  // A load report of any age: only its average counts.
+  void OnBusyReport(double busy);
+  // Called at a fixed interval; averages the node's own use.
+  void AverageOwn();
+
+  // Chance that work of other nodes leaves no slot for one request more.
+  double ChanceOfWait(TimePoint now) const;
+
   // Estimate of slots that other nodes fill; fades with its age.
   double ForeignBusy(TimePoint now) const;
   void SetForeignBusy(TimePoint now, double busy);
@@ -71,6 +79,9 @@
   uint8_t connect_failures_ = 0;
   double foreign_busy_ = 0;
   TimePoint foreign_at_;
+  // Long-run averages of busy slots as reported and of own requests.
+  double mean_busy_ = 0;
+  double mean_own_ = 0;
 };
 
 }  // namespace comfreystand::steer
--- a/src/steer/balance_evaluate.cc
+++ b/src/steer/balance_evaluate.cc
@@ -156,17 +156,22 @@
   median_ = MedianSlowness(now);
   uint32_t warm = 0;
   ejected_ = 0;
+  for (DomainLoad& load : loads_) {
+    load.ejected = 0;
+  }
   for (const Member& member : members_) {
     const Backend& backend = At(member.backend);
     warm += backend.served >= tuning_->warm_after ? 1 : 0;
     ejected_ += backend.IsEjected() ? 1 : 0;
+    loads_[member.load].ejected += backend.IsEjected() ? 1 : 0;
   }
   siblings_warm_ = warm * 2 > live_;
   for (const Member& member : members_) {
     Backend& backend = At(member.backend);
     backend.slowness.Fade(kKeepPerInterval);
+    backend.AverageOwn();
     if (member.used && !backend.suspect &&
-        MoveWeight(now, &backend, backend.slowness.Get(now) / median_)) {
+        MoveWeight(now, member, backend.slowness.Get(now) / median_)) {
       ++stats->ejections;
     }
   }
@@ -176,32 +181,43 @@
   }
 }
 
-bool ServicePool::MoveWeight(TimePoint now, Backend* backend, double relative) {
-  const bool was_ejected = backend->IsEjected();
+bool ServicePool::MayEject(const DomainLoad& load) const {
+  // Half of a failure domain's backend servers stay in any case.
+  return ejected_ + 1 <= tuning_->max_ejected_share * live_ &&
+         load.ejected + 1 <= (load.backends + 1) / 2;
+}
+
+bool ServicePool::MoveWeight(TimePoint now,
+                             const Member& member,
+                             double relative) {
+  Backend& backend = At(member.backend);
+  DomainLoad& load = loads_[member.load];
+  const bool was_ejected = backend.IsEjected();
   if (relative > tuning_->straggler_factor) {
-    backend->weight = std::max(kEjectedWeight, backend->weight * kEaseOut);
-    const bool may_eject = ejected_ + 1 <= tuning_->max_ejected_share * live_;
-    if (!was_ejected && !may_eject) {
-      backend->weight = std::max(backend->weight, kLeastKeptWeight);
+    backend.weight = std::max(kEjectedWeight, backend.weight * kEaseOut);
+    if (!was_ejected && !MayEject(load)) {
+      backend.weight = std::max(backend.weight, kLeastKeptWeight);
     }
-  } else if (relative < tuning_->recovered_factor && backend->weight < 1) {
+  } else if (relative < tuning_->recovered_factor && backend.weight < 1) {
     if (!was_ejected) {
-      backend->weight = std::min(1.0, backend->weight * kEaseBack);
-    } else if (backend->slowness.Evidence() >= kTrialEvidence) {
-      backend->weight = kFirstEaseBack;
+      backend.weight = std::min(1.0, backend.weight * kEaseBack);
+    } else if (backend.slowness.Evidence() >= kTrialEvidence) {
+      backend.weight = kFirstEaseBack;
       --ejected_;
+      --load.ejected;
     }
   }
-  const bool ejected_now = !was_ejected && backend->IsEjected();
+  const bool ejected_now = !was_ejected && backend.IsEjected();
   if (ejected_now) {
     ++ejected_;
-    backend->trial_wait = tuning_->trial_interval;
-    backend->next_trial = now + backend->trial_wait;
+    ++load.ejected;
+    backend.trial_wait = tuning_->trial_interval;
+    backend.next_trial = now + backend.trial_wait;
   }
   // Between the two thresholds, so that only evidence moves the weight.
   const double undecided =
       (tuning_->straggler_factor + tuning_->recovered_factor) / 2;
-  backend->slowness.SetPrior(backend->weight < 1 ? undecided : 1);
+  backend.slowness.SetPrior(backend.weight < 1 ? undecided : 1);
   return ejected_now;
 }
 
--- a/src/steer/balance_pool.cc
+++ b/src/steer/balance_pool.cc
@@ -8,7 +8,9 @@
 
 // Cost of a fully occupied backend server against an idle one, in multiples
 // of the expected latency.
-constexpr double kOccupancyCost = 0.6;
+constexpr double kOccupancyCost = 1.2;
+// Cost of a certain wait for one of the slots.
+constexpr double kWaitCost = 1;
 // Slowness relative to the median that the choice does not yet react to.
 constexpr double kSlownessDeadband = 1.5;
 // Recent need for short slots counts this many times over when unused slots
@@ -66,11 +68,7 @@
   return {.backend = best == nullptr ? BackendId() : best->backend};
 }
 
-void ServicePool::OnStart(TimePoint now,
-                          Backend* backend,
-                          Lane lane,
-                          Duration expected) {
-  backend->slowness.OnStart(now, expected);
+void ServicePool::OnStart(Backend* backend, Lane lane) {
   ++backend->in_flight;
   ++lane_in_flight_[static_cast<size_t>(lane)];
   DomainLoad* load = FindLoad(backend->domain);
@@ -143,9 +141,6 @@
                            const ChoiceRequest& request) const {
   const Backend& backend = At(member.backend);
   const DomainLoad& load = loads_[member.load];
-  if (!member.owns_long) {
-    return false;
-  }
   if (load.distance != Distance::kOwnDomain) {
     // Nodes over there place long work too; stay within one's own grant.
     const uint32_t granted =
@@ -154,16 +149,25 @@
            load.long_in_flight <
                std::max(1U, ShareOf(granted, request.long_share));
   }
-  const uint32_t own_share =
+  const uint32_t base =
       std::max(1U, ShareOf(backend.slots, request.long_share));
-  if (backend.long_in_flight < own_share) {
+  if (member.owns_long && backend.long_in_flight < base) {
     return true;
   }
+  if (backend.long_in_flight + 1 >= backend.slots) {
+    return false;
+  }
+  // Nodes whose part of the backend servers isn't whole round it up, on one
+  // that another node owns.
+  const uint32_t part =
+      (base * load.backends + peers_.count - 1) / peers_.count;
+  if (load.long_in_flight < part) {
+    return backend.long_in_flight == 0;
+  }
   // Lends slots that short work has not needed lately, never the last one.
   const double lent = load.slots - load.backends -
                       kShortReserve * load.short_peak * peers_.count;
-  return backend.long_in_flight + 1 < backend.slots &&
-         (load.long_in_flight + 1) * peers_.count <= lent;
+  return member.owns_long && (load.long_in_flight + 1) * peers_.count <= lent;
 }
 
 bool ServicePool::WantsTrial(TimePoint now,
@@ -180,9 +184,12 @@
                          const Member& member,
                          const ChoiceRequest& request) const {
   const Backend& backend = At(member.backend);
-  const double slots = backend.slots;
-  const double busy = backend.in_flight + backend.ForeignBusy(now);
-  const double wait = std::max(0.0, busy + 1 - slots) / slots;
+  const double occupied =
+      static_cast<double>(backend.in_flight) / backend.slots;
+  // Short work of others passes soon, long work doesn't.
+  const uint32_t passing =
+      backend.slots - std::min(backend.slots - 1, backend.long_in_flight);
+  const double wait = kWaitCost * backend.ChanceOfWait(now) / passing;
   const double relative = backend.slowness.Get(now) / median_;
   const double slow = relative > kSlownessDeadband ? relative : 1;
   const double expected =
@@ -198,8 +205,7 @@
       round_trip = static_cast<double>(tuning_->other_region_rtt.count());
       break;
   }
-  return slow * (1 + wait + kOccupancyCost * busy / slots) +
-         round_trip / expected;
+  return slow * (1 + wait + kOccupancyCost * occupied) + round_trip / expected;
 }
 
 }  // namespace comfreystand::steer
--- a/src/steer/balance_pool.h
+++ b/src/steer/balance_pool.h
@@ -66,7 +66,7 @@
   Choice Choose(TimePoint now, const ChoiceRequest& request);
 
   // Books a started or ended attempt.
-  void OnStart(TimePoint now, Backend* backend, Lane lane, Duration expected);
+  void OnStart(Backend* backend, Lane lane);
   void OnEnd(Backend* backend, Lane lane);
   // Running work of the short lane has turned out long.
   void OnBecameLong(Backend* backend);
@@ -92,6 +92,8 @@
     uint32_t long_in_flight = 0;
     // Recent maximum of short work in flight; fades.
     double short_peak = 0;
+    // Backend servers that get trials only.
+    uint32_t ejected = 0;
   };
 
   struct Member {
@@ -119,7 +121,8 @@
               const Member& member,
               const ChoiceRequest& request) const;
   double MedianSlowness(TimePoint now);
-  bool MoveWeight(TimePoint now, Backend* backend, double relative);
+  bool MoveWeight(TimePoint now, const Member& member, double relative);
+  bool MayEject(const DomainLoad& load) const;
 
   const DispatchTuning* tuning_;
   std::vector<Backend>* backends_;
--- a/src/steer/dispatch_attempt.cc
+++ b/src/steer/dispatch_attempt.cc
@@ -69,9 +69,14 @@
   attempt->lane = request->lane;
   attempt->expected = request->expected;
   attempt->started = now;
+  Backend& backend = backends_[choice.backend.value];
+  // Latencies of unknown work can't be compared.
+  attempt->excluded = !learner_.KnowsClass(attempt->key);
+  if (!attempt->excluded) {
+    backend.slowness.OnStart(now, request->expected);
+  }
   Service* service = FindService(traits.service);
-  service->pool.OnStart(now, &backends_[choice.backend.value], request->lane,
-                        request->expected);
+  service->pool.OnStart(&backend, request->lane);
   request->open[request->history.open_attempts] = attempt_handle;
   request->tried[request->history.attempts] = choice.backend;
   ++request->history.open_attempts;
@@ -139,10 +144,19 @@
 void DispatcherCore::LearnFrom(TimePoint now, const Attempt& attempt) {
   const Duration latency = now - attempt.started;
   learner_.OnFinished(attempt.key, attempt.lane, attempt.backend, latency);
-  if (attempt.lane == Lane::kShort && attempt.expected.count() > 0) {
-    FindService(attempt.service)
-        ->hedge_factor.Observe(static_cast<double>(latency.count()) /
-                               static_cast<double>(attempt.expected.count()));
+  if (attempt.excluded || attempt.expected.count() == 0) {
+    return;
+  }
+  const double multiple = static_cast<double>(latency.count()) /
+                          static_cast<double>(attempt.expected.count());
+  if (attempt.lane == Lane::kShort) {
+    FindService(attempt.service)->hedge_factor.Observe(multiple);
+  }
+  Backend& backend = backends_[attempt.backend.value];
+  if (backend.IsEjected() && multiple < init_.tuning.straggler_factor) {
+    // A good trial is soon followed by the next.
+    backend.trial_wait = init_.tuning.trial_interval / 4;
+    backend.next_trial = now + backend.trial_wait;
   }
 }
 
--- a/src/steer/dispatch_core.cc
+++ b/src/steer/dispatch_core.cc
@@ -82,11 +82,14 @@
 }
 
 void DispatcherCore::OnLoadReport(TimePoint now, const LoadReport& report) {
-  if (report.backend.value >= backends_.size() ||
-      report.age > kOldestLoadReport) {
+  if (report.backend.value >= backends_.size()) {
     return;
   }
   Backend& backend = backends_[report.backend.value];
+  backend.OnBusyReport(report.busy.value);
+  if (report.age > kOldestLoadReport) {
+    return;
+  }
   backend.SetForeignBusy(now - report.age,
                          static_cast<double>(report.busy.value) -
                              static_cast<double>(backend.in_flight));
@@ -226,9 +229,11 @@
     }
     Backend& backend = backends_[attempt->backend.value];
     attempt->lane = Lane::kLong;
+    if (!attempt->excluded) {
+      backend.slowness.OnExcluded(attempt->started, attempt->expected,
+                                  init_.tuning.long_factor);
+    }
     attempt->excluded = true;
-    backend.slowness.OnExcluded(attempt->started, attempt->expected,
-                                init_.tuning.long_factor);
     FindService(attempt->service)->pool.OnBecameLong(&backend);
   });
 }
