First whole path: seven entry VM processes serve look-ups and requests

Cause: the parts existed but no process joined them. Ruled out: deriving peer addresses from the VM list's own field, which has one address a VM; all entry VMs of a deployment share their ports instead.

--- a/src/cli/verbs.cc
+++ b/src/cli/verbs.cc
@@ -5,7 +5,8 @@
 namespace comfreystand::cli {
 namespace {
 
-constexpr std::array kVerbs = {&kRulesCheckVerb, &kRulesDiffVerb,
+constexpr std::array kVerbs = {&kNodeVerb,          &kRulesBootstrapVerb,
+                               &kRulesCheckVerb,    &kRulesDiffVerb,
                                &kSettingsCheckVerb, &kSettingsDescribeVerb};
 
 }  // namespace
--- a/src/cli/verbs.h
+++ b/src/cli/verbs.h
@@ -9,6 +9,8 @@
 // declared here and listed in verbs.cc.
 namespace comfreystand::cli {
 
+extern const Verb kNodeVerb;
+extern const Verb kRulesBootstrapVerb;
 extern const Verb kRulesCheckVerb;
 extern const Verb kRulesDiffVerb;
 extern const Verb kSettingsCheckVerb;
--- /dev/null
+++ b/src/node/node.cc
@@ -0,0 +1,184 @@
+#include "comfreystand/node.h"
+
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include "comfreystand/log.h"
+#include "src/node/node_impl.h"
+
+namespace comfreystand::node {
+namespace {
+
+bool ReadFile(const std::string& path, std::string* text) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream content;
+  content << file.rdbuf();
+  *text = content.str();
+  return file.good();
+}
+
+std::string PortOf(const std::string& address) {
+  return address.substr(address.rfind(':') + 1);
+}
+
+const NumericAddress& Advertised(const NumericAddress& advertised,
+                                 const NumericAddress& listened) {
+  return advertised.IsSet() ? advertised : listened;
+}
+
+steer::SiteLookupInit LookupInit(const NodeSettings& settings) {
+  steer::SiteLookupInit init;
+  init.domain = settings.domain;
+  init.ttl = settings.answer_ttl;
+  init.ttl_in_change = settings.answer_ttl_in_change;
+  return init;
+}
+
+steer::DispatcherInit DispatchInit(const NodeSettings& settings) {
+  steer::DispatcherInit init;
+  init.node = NodeId(static_cast<uint32_t>(settings.node_id));
+  init.seed = static_cast<uint64_t>(settings.node_id) + 1;
+  init.tuning.retry_ratio = settings.retry_budget.value;
+  init.tuning.hedge_ratio = settings.hedge_budget.value;
+  init.tuning.probe_share = settings.probe_budget.value;
+  init.tuning.max_queued = static_cast<uint32_t>(settings.max_queued_requests);
+  return init;
+}
+
+member::GracefulStopInit StopInit(const NodeSettings& settings) {
+  member::GracefulStopInit init;
+  init.answer_ttl = settings.answer_ttl;
+  init.finish_limit = settings.drain_timeout;
+  return init;
+}
+
+}  // namespace
+
+Node::Impl::Impl(EventLoop* loop, const NodeSettings& settings)
+    : loop_(loop),
+      settings_(settings),
+      store_(loop->base(), settings.store_address.text),
+      vm_list_(loop->base(), settings.vm_list_address.text),
+      lookup_(LookupInit(settings)),
+      dispatcher_(steer::CreateDispatcher(DispatchInit(settings))),
+      stop_(StopInit(settings)) {}
+
+Node::Impl::~Impl() = default;
+
+bool Node::Impl::ReadTls(peer::TlsMaterial* tls, std::string* error) const {
+  if (settings_.peer_certificate.empty())
+    return true;
+  if (ReadFile(settings_.peer_certificate, &tls->certificate) &&
+      ReadFile(settings_.peer_key, &tls->private_key) &&
+      ReadFile(settings_.peer_ca, &tls->authority))
+    return true;
+  *error = "key material for peers can't be read";
+  return false;
+}
+
+bool Node::Impl::Start(std::string* error) {
+  peer::TlsMaterial tls;
+  if (!ReadTls(&tls, error))
+    return false;
+  transport_ = std::make_unique<peer::GrpcTransport>(loop_, tls);
+  StartMembership();
+  StartRules();
+  peer_server_ = std::make_unique<peer::GrpcServer>(
+      loop_, settings_.peer_address.text, tls,
+      [this](const wire::Envelope& request) { return HandlePeer(request); });
+  if (peer_server_->port() == 0) {
+    *error = "can't listen on " + settings_.peer_address.text;
+    return false;
+  }
+  if (!StartEdge(error))
+    return false;
+  membership_->Start();
+  spread_->Start();
+  Tick();
+  return true;
+}
+
+void Node::Impl::StartMembership() {
+  member::MembershipInit init;
+  init.node = NodeId(static_cast<uint32_t>(settings_.node_id));
+  init.domain = member::MakeNameKey(settings_.domain);
+  init.site = member::MakeNameKey(settings_.site);
+  init.address =
+      Advertised(settings_.advertised_peer_address, settings_.peer_address)
+          .text;
+  init.incarnation = Incarnation{static_cast<uint64_t>(clock_.WallNow().value)};
+  init.seed = static_cast<uint64_t>(settings_.node_id) + 1;
+  init.period = settings_.heartbeat_interval;
+  membership_ = std::make_unique<member::Membership>(init, *loop_, *transport_);
+  membership_->SetLeavingListener(
+      [this](const member::LeavingBackend& leaving) {
+        LogStateChange("backend", "leaving",
+                       {{"name", leaving.name}, {"address", leaving.address}});
+        UpdateBackends();
+      });
+}
+
+void Node::Impl::StartRules() {
+  acceptance_ = std::make_unique<platform::Acceptance>(
+      platform::AcceptanceInit{}, *loop_, store_);
+  member::RuleSpreadInit init;
+  init.seed = static_cast<uint64_t>(settings_.node_id) + 1;
+  init.confirm_audit = [this] {
+    acceptance_->ConfirmAudit([](platform::StoreStatus) {});
+  };
+  spread_ = std::make_unique<member::RuleSpread>(init, *loop_, store_,
+                                                 *transport_, *membership_);
+  spread_->SetListener(
+      [this](const RuleDocument& document) { InstallRules(document); });
+  membership_->SetRuleCarrier(spread_.get());
+}
+
+bool Node::Impl::StartEdge(std::string* error) {
+  backends_ = std::make_unique<BackendDirectory>(
+      dispatcher_.get(),
+      [this](std::string_view name, std::string_view address) {
+        return membership_->IsLeaving(name, address);
+      });
+  sites_ = std::make_unique<SiteDirectory>(
+      &lookup_, PortOf(Advertised(settings_.advertised_edge_address,
+                                  settings_.edge_address)
+                           .text));
+  edge::ServerInit init;
+  init.listen_address = settings_.edge_address.text;
+  init.max_request_header_bytes =
+      static_cast<size_t>(settings_.max_request_header.value);
+  init.max_request_body_bytes =
+      static_cast<size_t>(settings_.max_request_body.value);
+  init.max_answer_body_bytes =
+      static_cast<size_t>(settings_.max_answer_body.value);
+  init.max_callers = settings_.max_caller_connections;
+  init.backend_timeout = settings_.progress_timeout;
+  edge_ = edge::Server::Create(loop_->base(), &clock_, init, &lookup_,
+                               dispatcher_.get(), nullptr, error);
+  return edge_ != nullptr;
+}
+
+wire::Envelope Node::Impl::HandlePeer(const wire::Envelope& request) {
+  wire::Envelope reply;
+  membership_->Handle(request, &reply);
+  return reply;
+}
+
+Node::Node(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+Node::~Node() = default;
+
+std::unique_ptr<Node> Node::Create(EventLoop* loop,
+                                   const NodeSettings& settings,
+                                   std::string* error) {
+  auto impl = std::make_unique<Impl>(loop, settings);
+  if (!impl->Start(error))
+    return nullptr;
+  return std::unique_ptr<Node>(new Node(std::move(impl)));
+}
+
+void Node::BeginStop(std::function<void()> done) {
+  impl_->BeginStop(std::move(done));
+}
+
+}  // namespace comfreystand::node
--- /dev/null
+++ b/src/node/node_impl.h
@@ -0,0 +1,93 @@
+#ifndef COMFREYSTAND_SRC_NODE_NODE_IMPL_H_
+#define COMFREYSTAND_SRC_NODE_NODE_IMPL_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "comfreystand/acceptance.h"
+#include "comfreystand/edge.h"
+#include "comfreystand/event_loop.h"
+#include "comfreystand/grpc_peer.h"
+#include "comfreystand/member.h"
+#include "comfreystand/node.h"
+#include "comfreystand/platform_http.h"
+#include "comfreystand/rules.h"
+#include "comfreystand/settings.h"
+#include "comfreystand/steer/change.h"
+#include "comfreystand/steer/dispatch.h"
+#include "comfreystand/steer/lookup.h"
+#include "src/node/backend_directory.h"
+#include "src/node/names.h"
+#include "src/node/site_directory.h"
+
+namespace comfreystand::node {
+
+class Node::Impl {
+ public:
+  Impl(EventLoop* loop, const NodeSettings& settings);
+  ~Impl();
+
+  // Opens the listeners and starts the periodic work.
+  bool Start(std::string* error);
+  void BeginStop(std::function<void()> done);
+
+ private:
+  // Wiring; node.cc.
+  bool ReadTls(peer::TlsMaterial* tls, std::string* error) const;
+  void StartMembership();
+  void StartRules();
+  bool StartEdge(std::string* error);
+  wire::Envelope HandlePeer(const wire::Envelope& request);
+
+  // Rules; node_rules.cc.
+  void InstallRules(const RuleDocument& document);
+  void InstallLookup(const RuleDocument& document, const RuleSet& current);
+
+  // Periodic work; node_tick.cc.
+  void ScheduleTick();
+  void Tick();
+  void FetchVmList();
+  void OnVmList(const std::vector<platform::VmEntry>& vms);
+  void UpdateBackends();
+  void UpdateSites();
+  void ReportBackendsLeaving();
+
+  // Graceful stop; node_stop.cc.
+  void StepStop();
+  member::StopProgress Progress() const;
+  void EnterPhase(member::StopPhase phase);
+
+  EventLoop* loop_;
+  const NodeSettings settings_;
+  SystemClock clock_;
+  platform::HttpKeyValueStore store_;
+  platform::HttpVmList vm_list_;
+  std::unique_ptr<peer::GrpcTransport> transport_;
+  std::unique_ptr<peer::GrpcServer> peer_server_;
+  std::unique_ptr<platform::Acceptance> acceptance_;
+  std::unique_ptr<member::Membership> membership_;
+  std::unique_ptr<member::RuleSpread> spread_;
+  StableNames names_;
+  RuleSet rules_;
+  std::unique_ptr<steer::ChangeGate> gate_;
+  steer::SiteLookup lookup_;
+  std::unique_ptr<steer::Dispatcher> dispatcher_;
+  std::unique_ptr<BackendDirectory> backends_;
+  std::unique_ptr<SiteDirectory> sites_;
+  std::unique_ptr<edge::Server> edge_;
+  bool vm_list_seen_ = false;
+
+  member::GracefulStop stop_;
+  std::function<void()> stopped_;
+  uint64_t requests_at_last_step_ = 0;
+  TimePoint last_request_seen_{};
+
+  // Tasks on the loop that outlive this object find it empty.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace comfreystand::node
+
+#endif  // COMFREYSTAND_SRC_NODE_NODE_IMPL_H_
--- /dev/null
+++ b/src/node/node_tick.cc
@@ -0,0 +1,115 @@
+#include <algorithm>
+#include <utility>
+
+#include "comfreystand/log.h"
+#include "src/node/node_impl.h"
+
+namespace comfreystand::node {
+namespace {
+
+using platform::VmEntry;
+
+std::string HostOf(const std::string& address) {
+  return address.substr(0, address.rfind(':') + 1);
+}
+
+std::string PortOf(const std::string& address) {
+  return address.substr(address.rfind(':') + 1);
+}
+
+// Where the entry VMs of the list and the settings may answer peers. The VM
+// list names the caller's port; peers share the peer port of this node.
+std::vector<member::Contact> ContactsOf(const std::vector<VmEntry>& vms,
+                                        const NodeSettings& settings) {
+  std::vector<member::Contact> contacts;
+  const std::string port = PortOf(settings.peer_address.text);
+  for (const VmEntry& vm : vms) {
+    if (vm.role == VmEntry::Role::kEntry) {
+      contacts.push_back(
+          {HostOf(vm.address) + port, member::MakeNameKey(vm.domain)});
+    }
+  }
+  for (const NumericAddress& seed : settings.seeds) {
+    const bool is_listed = std::any_of(
+        contacts.begin(), contacts.end(),
+        [&](const auto& contact) { return contact.address == seed.text; });
+    if (!is_listed)
+      contacts.push_back({seed.text, member::NameKey{}});
+  }
+  return contacts;
+}
+
+}  // namespace
+
+void Node::Impl::ScheduleTick() {
+  loop_->PostDelayed(settings_.vm_list_interval,
+                     [this, alive = std::weak_ptr<bool>(alive_)] {
+                       if (!alive.expired())
+                         Tick();
+                     });
+}
+
+void Node::Impl::Tick() {
+  if (!vm_list_seen_)
+    membership_->SetContacts(ContactsOf({}, settings_));
+  FetchVmList();
+  ReportBackendsLeaving();
+  UpdateBackends();
+  UpdateSites();
+  membership_->ExpireLeaving(clock_.WallNow());
+  StepStop();
+  ScheduleTick();
+}
+
+void Node::Impl::FetchVmList() {
+  vm_list_.Fetch(
+      [this, alive = std::weak_ptr<bool>(alive_)](
+          platform::StoreStatus status, const std::vector<VmEntry>& vms) {
+        if (!alive.expired() && status == platform::StoreStatus::kOk)
+          OnVmList(vms);
+      });
+}
+
+void Node::Impl::OnVmList(const std::vector<VmEntry>& vms) {
+  vm_list_seen_ = true;
+  membership_->SetContacts(ContactsOf(vms, settings_));
+  membership_->ReportVmList(vms, clock_.WallNow());
+  backends_->SetVms(vms);
+  UpdateBackends();
+}
+
+void Node::Impl::UpdateBackends() {
+  if (!backends_ || !edge_)
+    return;
+  if (backends_->Update(loop_->Now(), rules_, names_))
+    edge_->SetBackends(backends_->Addresses());
+  edge_->Poke();
+}
+
+void Node::Impl::UpdateSites() {
+  if (!sites_ || !edge_)
+    return;
+  edge_->SetSites(sites_->Update(membership_->Domains(),
+                                 static_cast<size_t>(settings_.node_id)));
+  const auto ranked = membership_->Ranked();
+  dispatcher_->SetPeersInDomain(
+      static_cast<uint32_t>(std::max(membership_->OwnRank(), 0)),
+      static_cast<uint32_t>(std::max<size_t>(ranked.size(), 1)));
+}
+
+void Node::Impl::ReportBackendsLeaving() {
+  const auto& entries = backends_->entries();
+  for (size_t i = 0; i < entries.size(); ++i) {
+    const BackendDirectory::Entry& entry = entries[i];
+    if (!entry.known || entry.state != steer::BackendState::kLive)
+      continue;
+    const BackendId id(static_cast<uint32_t>(i));
+    if (dispatcher_->StatusOf(id).state != steer::BackendState::kLeaving)
+      continue;
+    membership_->ReportLeaving({entry.vm.name, entry.vm.address,
+                                member::LeaveSource::kBackend,
+                                clock_.WallNow()});
+  }
+}
+
+}  // namespace comfreystand::node
--- a/standins/main/standin.cc
+++ b/standins/main/standin.cc
@@ -1,19 +1,30 @@
 #include <event2/event.h>
+#include <netinet/in.h>
 #include <popt.h>
 #include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <array>
 #include <cstdio>
+#include <cstdlib>
 #include <cstring>
 #include <memory>
 #include <string>
+#include <vector>
 
+#include "comfreystand/event_loop.h"
 #include "standins/backend.h"
+#include "standins/store.h"
+#include "standins/vm_list.h"
 
 // Stand-ins for the platform and for backend servers, as processes. Each prints
 // the address it listens on as its first line.
 namespace {
 
+// Age of what the VM list tells.
+constexpr std::chrono::milliseconds kVmListLag(500);
+
 struct BaseDeleter {
   void operator()(event_base* base) const { event_base_free(base); }
 };
@@ -33,6 +44,18 @@
   event_free(interrupt);
 }
 
+// Prints the port and runs until SIGTERM or SIGINT.
+int Serve(comfreystand::EventLoop* loop, uint16_t port) {
+  if (port == 0) {
+    std::fprintf(stderr, "can't listen\n");
+    return 1;
+  }
+  std::printf("%u\n", port);
+  std::fflush(stdout);
+  RunUntilStopped(loop->base());
+  return 0;
+}
+
 int RunBackend(int argc, const char** argv) {
   char* address = nullptr;
   char* behaviour = nullptr;
@@ -67,13 +90,50 @@
   return 0;
 }
 
+int RunStore(int argc, const char** argv) {
+  comfreystand::EventLoop loop;
+  const comfreystand::standins::Store store(&loop,
+                                            argc > 1 ? argv[1] : "127.0.0.1:0");
+  return Serve(&loop, store.port());
+}
+
+int RunVmList(int argc, const char** argv) {
+  comfreystand::EventLoop loop;
+  const comfreystand::standins::VmListServer list(
+      &loop, argc > 1 ? argv[1] : "127.0.0.1:0", kVmListLag);
+  return Serve(&loop, list.port());
+}
+
+// Prints ports that were free on all loopback addresses a moment ago.
+int PrintPorts(int argc, const char** argv) {
+  const int count = argc > 1 ? std::atoi(argv[1]) : 1;
+  std::vector<int> sockets;
+  for (int i = 0; i < count; ++i) {
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    socklen_t size = sizeof(address);
+    if (bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
+        getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0)
+      return 1;
+    std::printf("%u\n", ntohs(address.sin_port));
+    sockets.push_back(fd);
+  }
+  for (const int fd : sockets)
+    close(fd);
+  return 0;
+}
+
 struct Verb {
   const char* name;
   int (*run)(int argc, const char** argv);
   const char* help;
 };
 
-constexpr std::array<Verb, 1> kVerbs = {{
+constexpr std::array<Verb, 4> kVerbs = {{
+    {"store", &RunStore, "the key-value service; takes A.B.C.D:PORT"},
+    {"vmlist", &RunVmList, "the VM list; takes A.B.C.D:PORT"},
+    {"ports", &PrintPorts, "prints N free ports"},
     {"backend", &RunBackend, "a backend server"},
 }};
 
