--- a/src/member/rule_spread_impl.cc
+++ b/src/member/rule_spread_impl.cc
@@ -18,7 +18,7 @@
 // Time after which a call that never returned is given up.
 constexpr Duration kCallLost = limits::kStoreWatchTimeout + 10s;
 // Time after which another peer may be asked for the same document.
-constexpr Duration kPullLost = 2s;
+constexpr Duration kPullLost = 500ms;
 
 }  // namespace
 
@@ -237,6 +237,9 @@
         if (ok && !reply.member().document().empty()) {
           self->Offer(reply.member().document(), nullptr);
           self->JudgeReadiness();
+        } else if (!ok) {
+          // Finds another peer that has it.
+          self->membership_.Hurry();
         }
       });
 }
--- a/src/platform/acceptance_impl.cc
+++ b/src/platform/acceptance_impl.cc
@@ -86,6 +86,13 @@
     Write(change);
     return;
   }
+  if (change->in_doubt &&
+      change->current.version < change->origin.expected_version) {
+    // The store was restored from an old copy; the nodes give it the current
+    // document, which tells the outcome.
+    Retry(change);
+    return;
+  }
   SearchTrail(change);
 }
 
--- /dev/null
+++ b/tests/hours_test.cc
@@ -0,0 +1,133 @@
+#include "comfreystand/hours.h"
+
+#include <doctest/doctest.h>
+
+#include "tests/support/test_ledger.h"
+#include "tests/support/tiny_codec.h"
+
+namespace comfreystand::hours {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::FleetInit;
+using testing::LedgerFleet;
+
+FleetInit MakeInit() {
+  FleetInit init;
+  init.codec = testing::TinyCodec();
+  return init;
+}
+
+// Most requests that one kill loses: those since the life's last report.
+constexpr uint64_t kLostPerKill = 8;
+
+}  // namespace
+
+TEST_CASE("every hour has a value or a reason") {
+  LedgerFleet run(MakeInit());
+  run.fleet.loop.RunFor(30min);
+
+  SUBCASE("and the value is exact when nothing fails") {
+    run.fleet.loop.RunFor(3h);
+    for (const HourStatus& hour : run.Read()) {
+      CHECK(hour.has_value);
+      CHECK(hour.reason.empty());
+      CHECK(hour.counts.answered == run.truth[hour.hour.value]);
+    }
+    CHECK(run.fleet.store.LargestValue() < 4096);
+  }
+
+  SUBCASE("also after an outage of the store for two hours") {
+    run.fleet.store.faults.down = true;
+    run.fleet.loop.RunFor(2h);
+    run.fleet.store.faults.down = false;
+    run.fleet.loop.RunFor(1h);
+    for (const HourStatus& hour : run.Read()) {
+      CHECK(hour.reason.empty());
+      CHECK(hour.counts.answered == run.truth[hour.hour.value]);
+    }
+  }
+
+  SUBCASE("also when nodes are killed during the outage") {
+    run.fleet.store.faults.down = true;
+    run.fleet.loop.RunFor(40min);
+    const int64_t killed_hour = HourOf(run.fleet.loop.WallNow()).value;
+    run.fleet.Kill(0);
+    run.fleet.Kill(4);
+    run.fleet.loop.RunFor(30min);
+    run.fleet.Start(0);
+    run.fleet.loop.RunFor(50min);
+    run.fleet.store.faults.down = false;
+    run.fleet.loop.RunFor(1h);
+    for (const HourStatus& hour : run.Read()) {
+      const uint64_t truth = run.truth[hour.hour.value];
+      CHECK(hour.has_value);
+      CHECK(hour.counts.answered <= truth);
+      if (hour.hour.value == killed_hour) {
+        CHECK_FALSE(hour.reason.empty());
+        CHECK(hour.counts.answered + 2 * kLostPerKill >= truth);
+      } else {
+        CHECK(hour.reason.empty());
+        CHECK(hour.counts.answered == truth);
+      }
+    }
+  }
+
+  SUBCASE("also when every VM is replaced gracefully") {
+    for (int place = 0; place < run.fleet.Places(); ++place) {
+      bool finished = false;
+      run.At(place).Ledger().Finish([&] { finished = true; });
+      run.fleet.loop.RunFor(1s);
+      CHECK(finished);
+      run.fleet.Kill(place);
+      run.fleet.loop.RunFor(1min);
+      run.fleet.Start(place);
+      run.fleet.loop.RunFor(1min);
+    }
+    run.fleet.loop.RunFor(2h);
+    for (const HourStatus& hour : run.Read()) {
+      CHECK(hour.reason.empty());
+      CHECK(hour.counts.answered == run.truth[hour.hour.value]);
+    }
+  }
+
+  SUBCASE("also when a whole failure domain is gone") {
+    for (int place = 0; place < 3; ++place) {
+      run.fleet.Kill(place);
+    }
+    run.fleet.loop.RunFor(3h);
+    const std::vector<HourStatus> hours = run.Read();
+    REQUIRE(hours.size() == 3);
+    CHECK(hours[1].has_value);
+    CHECK(hours[1].reason == "no report from domain-0; ");
+  }
+
+  SUBCASE("also when a value in the store is damaged") {
+    run.fleet.loop.RunFor(1h);
+    const int64_t day = HourOf(run.fleet.loop.WallNow()).value / 24;
+    run.fleet.store.Poke(
+        "comfreystand/hours/" + std::to_string(day) + "/domain-1",
+        "\xff garbage");
+    run.fleet.loop.RunFor(2h);
+    for (const HourStatus& hour : run.Read()) {
+      CHECK(hour.has_value);
+      CHECK(hour.reason.find("damaged") != std::string::npos);
+    }
+  }
+
+  SUBCASE("and lost answers never add a count twice") {
+    run.fleet.store.faults.lost_answer = 0.3;
+    run.fleet.store.faults.late_effect = 0.2;
+    run.fleet.network.faults.duplicate = 0.3;
+    run.fleet.network.faults.late = 0.2;
+    run.fleet.loop.RunFor(2h);
+    run.fleet.store.faults = {};
+    run.fleet.network.faults = {};
+    run.fleet.loop.RunFor(1h);
+    for (const HourStatus& hour : run.Read()) {
+      CHECK(hour.counts.answered == run.truth[hour.hour.value]);
+    }
+  }
+}
+
+}  // namespace comfreystand::hours
--- a/tests/support/history.h
+++ b/tests/support/history.h
@@ -15,9 +15,13 @@
   bool answered = false;
   platform::AcceptStatus status = platform::AcceptStatus::kUnresolved;
   RuleVersion version;
+  TimePoint told;
 };
 
-// A time during which a failure domain was not reachable as usual.
+// Domain of a disturbance of the store.
+constexpr int kStoreDisturbed = -2;
+
+// A time during which a failure domain or the store was not reachable as usual.
 struct Disturbance {
   int domain = 0;
   TimePoint from;
@@ -53,6 +57,7 @@
   std::vector<AuditEntry> trail;
   // The store was put back to an old copy; its trail may lack entries.
   bool restored = false;
+  std::vector<TimePoint> restores;
   // Leaving backend servers that some life stopped seeing as leaving, or that
   // some undisturbed place did not know of in time.
   std::vector<std::string> leaving_faults;
--- /dev/null
+++ b/tests/support/test_ledger.h
@@ -0,0 +1,128 @@
+#ifndef COMFREYSTAND_TESTS_SUPPORT_TEST_LEDGER_H_
+#define COMFREYSTAND_TESTS_SUPPORT_TEST_LEDGER_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "comfreystand/hours.h"
+#include "tests/support/test_fleet.h"
+
+namespace comfreystand::testing {
+
+// The wall clock of virtual time, as one node's loop sees it.
+class VirtualClock final : public Clock {
+ public:
+  explicit VirtualClock(const VirtualLoop& loop) : loop_(loop) {}
+  TimePoint Now() const override { return loop_.Now(); }
+  WallSeconds WallNow() const override { return loop_.WallNow(); }
+
+ private:
+  const VirtualLoop& loop_;
+};
+
+// The ledger of one life, over its membership.
+class TestLedger final : public hours::LedgerPeers {
+ public:
+  TestLedger(TestFleet& fleet, TestNode& node)
+      : node_(node),
+        clock_(fleet.loop),
+        ledger_(MakeInit(fleet, node),
+                node.loop,
+                clock_,
+                *node.store,
+                *node.transport,
+                *this) {
+    node.handler = [this](const wire::Envelope& request,
+                          wire::Envelope* reply) {
+      ledger_.Handle(request, reply);
+    };
+    ledger_.Start();
+  }
+
+  std::vector<std::string> RankedAddresses() const override {
+    std::vector<std::string> addresses;
+    for (const member::MemberInfo& member : node_.membership->Ranked()) {
+      const bool own = member.node.value == static_cast<uint32_t>(node_.place);
+      addresses.push_back(own ? std::string() : member.address);
+    }
+    return addresses;
+  }
+  int OwnRank() const override { return node_.membership->OwnRank(); }
+  Incarnation OwnIncarnation() const override {
+    return node_.membership->OwnIncarnation();
+  }
+
+  hours::HourLedger& Ledger() { return ledger_; }
+
+ private:
+  static hours::LedgerInit MakeInit(TestFleet& fleet, const TestNode& node) {
+    hours::LedgerInit init;
+    init.node = NodeId(static_cast<uint32_t>(node.place));
+    init.domain = TestFleet::DomainName(fleet.DomainOf(node.place));
+    init.seed = fleet.loop.Random()();
+    return init;
+  }
+
+  TestNode& node_;
+  VirtualClock clock_;
+  hours::HourLedger ledger_;
+};
+
+// A fleet whose nodes count requests, and the truth about them.
+class LedgerFleet {
+ public:
+  explicit LedgerFleet(const FleetInit& init) : fleet(init) {
+    fleet.on_start = [this](TestNode& node) {
+      all_.push_back(std::make_unique<TestLedger>(fleet, node));
+      ledgers_[node.place] = all_.back().get();
+    };
+    fleet.StartAll();
+    Load();
+  }
+
+  TestLedger& At(int place) { return *ledgers_.at(place); }
+
+  // Reads the hours from the fleet's start up to the one under way.
+  std::vector<hours::HourStatus> Read() {
+    std::vector<std::string> domains;
+    for (int d = 0; d <= fleet.DomainOf(fleet.Places() - 1); ++d) {
+      domains.push_back(TestFleet::DomainName(d));
+    }
+    NodeLoop reader_loop(fleet.loop);
+    const auto client = fleet.store.Client(reader_loop);
+    hours::HourReader reader("comfreystand/hours/", domains, *client);
+    std::vector<hours::HourStatus> found;
+    reader.Read(
+        first_, {hours::HourOf(fleet.loop.WallNow()).value - 1}, {},
+        [&](platform::StoreStatus,
+            const std::vector<hours::HourStatus>& hours) { found = hours; });
+    fleet.loop.RunFor(std::chrono::seconds(10));
+    return found;
+  }
+
+  TestFleet fleet;
+  // Requests really answered, by hour.
+  std::map<int64_t, uint64_t> truth;
+
+ private:
+  void Load() {
+    const int64_t hour = hours::HourOf(fleet.loop.WallNow()).value;
+    for (int place = 0; place < fleet.Places(); ++place) {
+      if (fleet.At(place) && !fleet.At(place)->loop.IsFrozen()) {
+        At(place).Ledger().Count(hours::MakeRegionKey("western"), true);
+        ++truth[hour];
+      }
+    }
+    fleet.loop.PostDelayed(std::chrono::seconds(10), [this] { Load(); });
+  }
+
+  hours::Hour first_ = hours::HourOf(fleet.loop.WallNow());
+  std::map<int, TestLedger*> ledgers_;
+  std::vector<std::unique_ptr<TestLedger>> all_;
+};
+
+}  // namespace comfreystand::testing
+
+#endif  // COMFREYSTAND_TESTS_SUPPORT_TEST_LEDGER_H_
