Lend backend slots between nodes by short-lived grants

Spill to other nodes' backend servers needs a bound that holds on stale views.

Ruled out: leases in the store (writes for each loan, no lending in an outage) and static shares alone (a lost region's load could not use the free slots elsewhere). A restarted owner knows nothing of its loans; so at most half of a share is ever lent, and only the other half is used until the longest loan has ended.

--- a/include/comfreystand/limits.h
+++ b/include/comfreystand/limits.h
@@ -53,6 +53,13 @@
 constexpr double kCapRaiseBelow = 0.8;
 constexpr double kCapRaiseStep = 0.01;
 
+// Grants.
+constexpr std::chrono::seconds kGrantLifetime = 10s;
+constexpr std::chrono::seconds kGrantRenewal = 2s;
+constexpr std::chrono::milliseconds kGrantMargin = 50ms;
+constexpr double kClockDrift = 0.01;
+constexpr double kMaxLentShare = 0.5;
+
 }  // namespace comfreystand::limits
 
 #endif  // COMFREYSTAND_LIMITS_H_
