--- a/include/comfreystand/limits.h
+++ b/include/comfreystand/limits.h
@@ -60,6 +60,17 @@
 constexpr double kClockDrift = 0.01;
 constexpr double kMaxLentShare = 0.5;
 
+// Regions.
+// Most other nodes of the own region, and of other regions, that a node borrows
+// from.
+constexpr size_t kMaxOwners = 8;
+// Unused link budget that may be saved up.
+constexpr std::chrono::milliseconds kLinkBurst = 250ms;
+// Slots asked for beyond the demand seen, as a share of it.
+constexpr double kDemandHeadroom = 0.15;
+// Part of the way that the estimate falls towards a lower demand per renewal.
+constexpr double kDemandDecay = 0.3;
+
 }  // namespace comfreystand::limits
 
 #endif  // COMFREYSTAND_LIMITS_H_
--- a/include/comfreystand/steer/grant.h
+++ b/include/comfreystand/steer/grant.h
@@ -20,7 +20,8 @@
 
 // Names a service across rule versions.
 struct ServiceKey {
-  constexpr auto operator<=>(const ServiceKey&) const = default;
+  constexpr auto operator<=>(const ServiceKey&) const =
+      default;  // NOLINT(modernize-use-nullptr)
   uint64_t value = 0;
 };
 
@@ -104,7 +105,8 @@
     TimePoint frees_at;
   };
   struct LoanKey {
-    auto operator<=>(const LoanKey&) const = default;
+    auto operator<=>(const LoanKey&) const =
+        default;  // NOLINT(modernize-use-nullptr)
     ServiceKey service;
     NodeId holder;
     Incarnation incarnation;
--- a/src/steer/grant_ledger.cc
+++ b/src/steer/grant_ledger.cc
@@ -136,9 +136,10 @@
 }
 
 void GrantLedger::Forget(TimePoint now) {
-  for (auto& [key, loan] : loans_) {
-    std::erase_if(loan.issues, [&](const Issue& issue) {
-      return issue.frees_at <= now && issue.sequence != loan.sequence;
+  for (auto& entry : loans_) {
+    Loan& loan = entry.second;
+    std::erase_if(loan.issues, [now, latest = loan.sequence](const Issue& i) {
+      return i.frees_at <= now && i.sequence != latest;
     });
   }
   std::erase_if(loans_, [&](const auto& entry) {
