--- a/include/comfreystand/limits.h
+++ b/include/comfreystand/limits.h
@@ -11,9 +11,33 @@
 using namespace std::chrono_literals;
 
 // Rules.
-constexpr size_t kMaxRuleFileBytes = 900'000;
+// Two files and the difference between them fit into one store value.
+constexpr size_t kMaxRuleFileBytes = 240'000;
 constexpr size_t kMaxRuleLineBytes = 4'096;
 constexpr size_t kMaxNameBytes = 64;
+constexpr size_t kMaxRuleRegions = 64;
+constexpr size_t kMaxRuleDomains = 1'024;
+constexpr size_t kMaxRuleSites = 4'096;
+constexpr size_t kMaxRuleServices = 1'024;
+constexpr size_t kMaxRuleClasses = 32;
+constexpr int kMaxEntryVmsPerDomain = 10'000;
+// Share of all traffic and time of one change when the rule file has no cap.
+constexpr double kDefaultCapShare = 0.10;
+constexpr std::chrono::seconds kDefaultCapRamp = 60s;
+
+// Dispatch.
+constexpr size_t kMaxServices = 256;
+constexpr size_t kMaxBackends = 16'384;
+constexpr size_t kLearnedDurations = 4'096;
+constexpr size_t kMaxTrackedCallers = 8'192;
+constexpr std::chrono::milliseconds kBalanceInterval = 50ms;
+constexpr std::chrono::milliseconds kMinRetryAfter = 100ms;
+constexpr std::chrono::seconds kMaxRetryAfter = 30s;
+
+// Tickets.
+constexpr size_t kMaxTicketBytes = 128;
+constexpr size_t kTicketsPerWindow = 4'096;
+constexpr size_t kMaxTicketWindows = 1'024;
 
 // Edge.
 constexpr size_t kMaxRequestHeaderBytes = 16'384;
@@ -25,6 +49,36 @@
 constexpr std::chrono::milliseconds kStoreCallTimeout = 2'000ms;
 constexpr std::chrono::milliseconds kStoreWatchTimeout = 30'000ms;
 
+// Acceptance.
+constexpr size_t kMaxChangeIdBytes = 128;
+constexpr size_t kMaxAuditSegmentBytes = 512 * 1024;
+constexpr size_t kAuditEntriesPerSegment = 16;
+// Unconfirmed entries that the document gathers before they are dropped.
+constexpr size_t kAuditDropEntries = 8;
+constexpr size_t kAuditDropBytes = 64 * 1024;
+constexpr std::chrono::hours kAuditRetention = 24h * 800;
+
+// Member.
+constexpr std::chrono::milliseconds kHeartbeatPeriod = 1'000ms;
+// Silence after which a member counts as dead.
+constexpr std::chrono::milliseconds kMemberTimeout = 7'000ms;
+// Age after which another failure domain's summary counts as lost.
+constexpr std::chrono::milliseconds kSummaryTimeout = 15'000ms;
+// Time that dead members are remembered, so that late messages are ignored.
+constexpr std::chrono::minutes kDeadRetention = 10min;
+constexpr size_t kMaxDomainMembers = 256;
+constexpr size_t kMaxDomains = 128;
+constexpr size_t kMaxSiteLoads = 256;
+constexpr size_t kMaxLeavingBackends = 4'096;
+constexpr std::chrono::hours kLeavingRetention = 6h;
+constexpr std::chrono::milliseconds kSummaryPeriod = 2'000ms;
+constexpr std::chrono::milliseconds kLoadPeriod = 5'000ms;
+
+// Hours.
+constexpr std::chrono::hours kHourUnstoredRetention = 72h;
+constexpr std::chrono::hours kHourStoredRetention = 24h * 800;
+constexpr size_t kMaxHourRecords = 65'536;
+
 // Peer.
 constexpr size_t kMaxPeerMessageBytes = size_t{2} << 20;
 constexpr std::chrono::milliseconds kPeerCallTimeout = 1'000ms;
