--- a/src/edge/backend_pool.cc
+++ b/src/edge/backend_pool.cc
@@ -1,5 +1,6 @@
 #include "src/edge/backend_pool.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace comfreystand::edge {
@@ -134,7 +135,12 @@
     connection->Close();
     return;
   }
-  backend->idle.push_back(connection);
+  const auto newer = std::find_if(
+      backend->idle.begin(), backend->idle.end(),
+      [this, serial = slots_.at(connection).serial](HttpConnection* other) {
+        return slots_.at(other).serial > serial;
+      });
+  backend->idle.insert(newer, connection);
 }
 
 BackendPool::Backend* BackendPool::Find(const Slot& slot) {
--- a/src/edge/backend_pool.h
+++ b/src/edge/backend_pool.h
@@ -44,7 +44,8 @@
     sockaddr_in socket_address{};
     int max_connections = 0;
     int open = 0;
-    // Most recently used last.
+    // By age, most recently opened last. New requests take the last one, so
+    // that a silent connection gives away all the others.
     std::vector<HttpConnection*> idle;
   };
   struct Slot {
@@ -56,7 +57,7 @@
   };
 
   HttpConnection* Open(BackendId id, Backend* backend);
-  // Closes the least recently used idle connection of any backend server.
+  // Closes the oldest idle connection of some backend server.
   bool CloseOneIdle();
   // The backend server that a connection leads to, if it is still listed.
   Backend* Find(const Slot& slot);
--- a/src/edge/http_connection.cc
+++ b/src/edge/http_connection.cc
@@ -18,7 +18,7 @@
 constexpr int kFirstFinalStatus = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
-constexpr size_t kReadBytes = 64 * 1024;
+constexpr size_t kReadBytes = size_t{64} << 10;
 
 bool EqualNames(std::string_view a, std::string_view b) {
   return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
--- a/src/edge/lingering_close.cc
+++ b/src/edge/lingering_close.cc
@@ -13,10 +13,10 @@
 namespace {
 
 constexpr size_t kMaxEntries = 256;
-constexpr size_t kMaxBytes = 1024 * 1024;
+constexpr size_t kMaxBytes = size_t{1} << 20;
 constexpr Duration kMaxWait = std::chrono::seconds(1);
-constexpr size_t kMinCharge = 4 * 1024;
-constexpr size_t kReadBytes = 16 * 1024;
+constexpr size_t kMinCharge = size_t{4} << 10;
+constexpr size_t kReadBytes = size_t{16} << 10;
 
 }  // namespace
 
--- a/src/edge/relay.cc
+++ b/src/edge/relay.cc
@@ -46,7 +46,10 @@
 Relay::Relay(evhtp_request_t* request, const ServerInit& init, RelayHost* host)
     : request_(request), init_(init), host_(host) {}
 
-bool Relay::KeepAlive() const {
+bool Relay::KeepAlive() {
+  if (close_after_answer_ || !body_complete_) {
+    request_->flags &= static_cast<uint16_t>(~EVHTP_REQ_FLAG_KEEPALIVE);
+  }
   return (request_->flags & EVHTP_REQ_FLAG_KEEPALIVE) != 0;
 }
 
@@ -62,9 +65,7 @@
   if (state_ != State::kPending || !request_) {
     return;
   }
-  if (refusal.close || !body_complete_) {
-    evhtp_request_set_keepalive(request_, 0);
-  }
+  close_after_answer_ = close_after_answer_ || refusal.close;
   AddText(bufferevent_get_output(request_->conn->bev),
           FormatRefusal(refusal, KeepAlive(), spec_.head_request));
   state_ = State::kFinished;
@@ -306,7 +307,7 @@
   } else if (chunked_answer_) {
     text += "Transfer-Encoding: chunked\r\n";
   } else if (!head.no_body) {
-    evhtp_request_set_keepalive(request_, 0);
+    close_after_answer_ = true;
   }
   if (!KeepAlive()) {
     text += "Connection: close\r\n";
@@ -318,9 +319,6 @@
 
 void Relay::OnHead(const AnswerHead& head) {
   delivered_verdict_ = VerdictOf(head.status);
-  if (!body_complete_) {
-    evhtp_request_set_keepalive(request_, 0);
-  }
   AddText(bufferevent_get_output(request_->conn->bev), AnswerHeadText(head));
 }
 
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -53,6 +53,9 @@
   RequestHandle handle() const { return handle_; }
   void set_handle(RequestHandle handle) { handle_ = handle; }
 
+  // Has the caller's connection closed after the answer.
+  void CloseAfterAnswer() { close_after_answer_ = true; }
+
   // Has the request refused once its body has arrived, or at once when the
   // refusal closes the connection.
   void RefuseWhenRead(const Refusal& refusal);
@@ -83,7 +86,8 @@
   void OnTruncated() override;
 
  private:
-  bool KeepAlive() const;
+  // Settles whether the connection outlives the answer.
+  bool KeepAlive();
   void FinishReply();
   void SendHeldBody(Attempt* attempt);
   void WritePart(Attempt* attempt, evbuffer* part);
@@ -107,6 +111,7 @@
   bool body_spent_ = false;
   bool reading_paused_ = false;
   bool refuse_when_read_ = false;
+  bool close_after_answer_ = false;
   Refusal refusal_;
   std::vector<Attempt*> feeds_;
   Attempt* delivering_ = nullptr;
--- a/src/edge/server_actions.cc
+++ b/src/edge/server_actions.cc
@@ -166,7 +166,9 @@
 }
 
 SideCall* Server::Impl::NewSideCall(Duration timeout, SideCall::Done done) {
-  auto owned = std::make_unique<SideCall>(base_, timeout, std::move(done));
+  auto owned = std::make_unique<SideCall>(
+      base_, timeout, std::move(done),
+      [this](const HttpConnection* connection) { OnSilent(connection); });
   SideCall* call = owned.get();
   side_calls_.emplace(call, std::move(owned));
   return call;
--- a/src/edge/server_impl.h
+++ b/src/edge/server_impl.h
@@ -79,6 +79,7 @@
   static evhtp_res OnPath(evhtp_request_t* request,
                           evhtp_path_t* path,
                           void* caller);
+  static void OnEvent(evhtp_connection_t* conn, short events, void* caller);
   static evhtp_res OnConnError(evhtp_connection_t* conn,
                                evhtp_error_flags flags,
                                void* caller);
--- a/src/edge/server_listen.cc
+++ b/src/edge/server_listen.cc
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr int kBacklog = 1'024;
-constexpr size_t kUnparsedBytes = 16 * 1024;
+constexpr size_t kUnparsedBytes = size_t{16} << 10;
 // Flags that libevhtp passes when its parser gave up.
 constexpr evhtp_error_flags kParserFailed = 0xff;
 
@@ -38,9 +38,12 @@
   return client;
 }
 
-bool KeepAlive(const evhtp_request_t* request) {
-  return (request->flags & EVHTP_REQ_FLAG_KEEPALIVE) != 0 &&
-         request->proto == EVHTP_PROTO_11;
+// Settles whether the connection outlives an answer that is sent at once.
+bool KeepAlive(evhtp_request_t* request) {
+  if (request->proto != EVHTP_PROTO_11) {
+    request->flags &= static_cast<uint16_t>(~EVHTP_REQ_FLAG_KEEPALIVE);
+  }
+  return (request->flags & EVHTP_REQ_FLAG_KEEPALIVE) != 0;
 }
 
 // Whether more than the request that was just parsed is waiting.
@@ -166,6 +169,8 @@
                             caller);
   evhtp_connection_set_hook(conn, evhtp_hook_on_conn_error,
                             ToHook(&OnConnError), caller);
+  evhtp_connection_set_hook(conn, evhtp_hook_on_event, ToHook(&OnEvent),
+                            caller);
   evhtp_connection_set_hook(conn, evhtp_hook_on_write, ToHook(&OnCallerWritten),
                             caller);
   evhtp_connection_set_hook(conn, evhtp_hook_on_request_fini,
@@ -194,12 +199,17 @@
   return EVHTP_RES_ERROR;
 }
 
+// Lets libevhtp free the connection even though a request is under way.
+void Server::Impl::OnEvent(evhtp_connection_t* conn, short events, void* arg) {
+  if (events & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) {
+    conn->flags &= static_cast<uint16_t>(~EVHTP_CONN_FLAG_PAUSED);
+  }
+}
+
 evhtp_res Server::Impl::OnConnError(evhtp_connection_t* conn,
                                     evhtp_error_flags flags,
                                     void* arg) {
   auto* caller = static_cast<Caller*>(arg);
-  // Lets libevhtp free the connection even though a request is under way.
-  conn->flags &= static_cast<uint16_t>(~EVHTP_CONN_FLAG_PAUSED);
   if (flags == kParserFailed) {
     caller->server->SendParseError(conn, caller);
   } else if (flags & BEV_EVENT_TIMEOUT) {
@@ -308,9 +318,6 @@
   }
   ++stats_.lookups;
   const bool keep_alive = KeepAlive(request);
-  if (!keep_alive) {
-    evhtp_request_set_keepalive(request, 0);
-  }
   SendWhole(request,
             lookup_reply_.Render(lookup_->Answer(client, clock_->Now()), client,
                                  keep_alive, head));
@@ -325,7 +332,6 @@
   const std::string body =
       "{\"ticket\":\"" + tickets_->Issue(clock_->Now()) + "\"}\n";
   const bool keep_alive = KeepAlive(request);
-  evhtp_request_set_keepalive(request, keep_alive ? 1 : 0);
   SendWhole(request,
             std::string("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
                         "Cache-Control: no-store\r\n") +
@@ -346,7 +352,6 @@
     CountFault(refusal.fault);
   }
   const bool keep_alive = KeepAlive(request);
-  evhtp_request_set_keepalive(request, keep_alive ? 1 : 0);
   SendWhole(request, FormatRefusal(refusal, keep_alive,
                                    request->method == htp_method_HEAD));
 }
@@ -390,7 +395,7 @@
     return;
   }
   if (drain_state_ != DrainState::kServing) {
-    evhtp_request_set_keepalive(request, 0);
+    relay->CloseAfterAnswer();
   }
   relay->set_handle(dispatcher_->Submit(now, relay->spec().traits));
   by_handle_.emplace(relay->handle(), relay);
--- a/src/edge/side_call.cc
+++ b/src/edge/side_call.cc
@@ -5,12 +5,13 @@
 namespace comfreystand::edge {
 namespace {
 
-constexpr size_t kMaxBodyBytes = 64 * 1024;
+constexpr size_t kMaxBodyBytes = size_t{64} << 10;
 
 }  // namespace
 
-SideCall::SideCall(event_base* base, Duration timeout, Done done)
+SideCall::SideCall(event_base* base, Duration timeout, Done done, Silent silent)
     : done_(std::move(done)),
+      silent_(std::move(silent)),
       timer_(event_new(
           base,
           -1,
@@ -67,6 +68,9 @@
 
 void SideCall::OnTimeout() {
   if (connection_) {
+    if (connection_->connected() && !connection_->answer_begun()) {
+      silent_(connection_);
+    }
     connection_->Close();
   } else {
     OnExchangeFailed(ExchangeFailure::kConnectFailed, false);
--- a/src/edge/side_call.h
+++ b/src/edge/side_call.h
@@ -22,7 +22,9 @@
   // The call may be destroyed from inside.
   using Done = std::function<void(SideCall* call, const Outcome& outcome)>;
 
-  SideCall(event_base* base, Duration timeout, Done done);
+  using Silent = std::function<void(const HttpConnection* connection)>;
+
+  SideCall(event_base* base, Duration timeout, Done done, Silent silent);
 
   // Sends `method` `path` over `connection`, or fails soon when it is null.
   void Start(HttpConnection* connection,
@@ -39,6 +41,8 @@
   void OnTimeout();
 
   Done done_;
+  // Told of a connection that made no progress, before it is closed.
+  Silent silent_;
   Outcome outcome_;
   HttpConnection* connection_ = nullptr;
   EventPtr timer_;
--- a/standins/backend.cc
+++ b/standins/backend.cc
@@ -263,15 +263,14 @@
 }
 
 void Backend::Admit(Job* job) {
-  if (behaviour_.shedding) {
+  const bool full = static_cast<int>(waiting_.size()) >= behaviour_.queue;
+  if (behaviour_.shedding || (busy_ >= behaviour_.slots && full)) {
     Refuse(job);
   } else if (busy_ < behaviour_.slots) {
     Begin(job);
-  } else if (static_cast<int>(waiting_.size()) < behaviour_.queue) {
+  } else {
     job->state = Job::State::kWaiting;
     waiting_.push_back(job);
-  } else {
-    Refuse(job);
   }
 }
 
@@ -398,7 +397,7 @@
     evbuffer_add(bufferevent_get_output(request->conn->bev), text.data(),
                  text.size());
     evbuffer_add(bufferevent_get_output(request->conn->bev), body.data(), size);
-    evhtp_request_set_keepalive(request, 0);
+    request->flags &= static_cast<uint16_t>(~EVHTP_REQ_FLAG_KEEPALIVE);
     evhtp_send_reply_end(request);
   } else if (job->chunked) {
     evbuffer* chunk = evbuffer_new();
