--- a/bench/experiment_run.cc
+++ b/bench/experiment_run.cc
@@ -24,11 +24,12 @@
         {.name = {},
          .region = RegionId(static_cast<uint16_t>(i / per_region))});
   }
-  rules.services.push_back(
-      {.name = "service",
-       .slots_per_backend = Slots{static_cast<int32_t>(deployment.slots)},
-       .connections_per_backend = deployment.connections,
-       .probe_cost = deployment.probe_cost});
+  ServiceRule service;
+  service.name = "service";
+  service.slots_per_backend = Slots{static_cast<int32_t>(deployment.slots)};
+  service.connections_per_backend = deployment.connections;
+  service.probe_cost = deployment.probe_cost;
+  rules.services.push_back(service);
   for (const WorkClass& work : scenario.classes) {
     rules.classes.push_back({.name = work.name,
                              .max_slot_share = Fraction{work.max_slot_share},
--- a/include/comfreystand/base.h
+++ b/include/comfreystand/base.h
@@ -79,7 +79,8 @@
 
 // Version of the accepted rule file. Zero means none has been accepted.
 struct RuleVersion {
-  constexpr auto operator<=>(const RuleVersion&) const = default;
+  constexpr auto operator<=>(const RuleVersion&) const =
+      default;  // NOLINT(modernize-use-nullptr)
   uint64_t value = 0;
 };
 
--- a/include/comfreystand/limits.h
+++ b/include/comfreystand/limits.h
@@ -51,11 +51,11 @@
 
 // Acceptance.
 constexpr size_t kMaxChangeIdBytes = 128;
-constexpr size_t kMaxAuditSegmentBytes = 512 * 1024;
+constexpr size_t kMaxAuditSegmentBytes = size_t{512} * 1024;
 constexpr size_t kAuditEntriesPerSegment = 16;
 // Unconfirmed entries that the document gathers before they are dropped.
 constexpr size_t kAuditDropEntries = 8;
-constexpr size_t kAuditDropBytes = 64 * 1024;
+constexpr size_t kAuditDropBytes = size_t{64} * 1024;
 constexpr std::chrono::hours kAuditRetention = 24h * 800;
 
 // Member.
--- a/src/steer/admission_learn.cc
+++ b/src/steer/admission_learn.cc
@@ -14,6 +14,8 @@
 constexpr uint8_t kMaxVotes = 4;
 // Expected latency of work that nothing is known of.
 constexpr Duration kUnknownLatency{20'000};
+// Least expected latency; timers are set by multiples of it.
+constexpr Duration kLeastExpected{500};
 
 uint64_t TagOf(const WorkKey& key) {
   const uint64_t kind =
@@ -31,6 +33,10 @@
     : long_factor_(long_factor), entries_(limits::kLearnedDurations) {}
 
 Duration DurationLearner::Expected(const WorkKey& key) const {
+  return std::max(kLeastExpected, LearnedMean(key));
+}
+
+Duration DurationLearner::LearnedMean(const WorkKey& key) const {
   const Entry* entry = Find(key);
   if (entry != nullptr && entry->count >= kMinObservations) {
     return Duration(static_cast<int64_t>(entry->mean_us));
--- a/src/steer/admission_learn.h
+++ b/src/steer/admission_learn.h
@@ -65,6 +65,7 @@
     uint32_t count = 0;
   };
 
+  Duration LearnedMean(const WorkKey& key) const;
   Entry& Slot(const WorkKey& key);
   const Entry* Find(const WorkKey& key) const;
   void Vote(Entry* entry, BackendId backend);
--- a/tests/support/dispatch_scene.h
+++ b/tests/support/dispatch_scene.h
@@ -27,7 +27,12 @@
   rules.regions = {{"western"}, {"central"}};
   rules.domains = {
       {"w1", RegionId(0), 1}, {"w2", RegionId(0), 1}, {"c1", RegionId(1), 1}};
-  rules.services = {{"bay-desk", Slots{3}, 330, 6ms}};
+  ServiceRule desk;
+  desk.name = "bay-desk";
+  desk.slots_per_backend = Slots{3};
+  desk.connections_per_backend = 330;
+  desk.probe_cost = 6ms;
+  rules.services = {desk};
   rules.classes = {{"short", Fraction{1}, 1s, 2},
                    {"report", Fraction{0.34}, 30s, 1}};
   return rules;
