--- a/include/comfreystand/edge.h
+++ b/include/comfreystand/edge.h
@@ -54,6 +54,8 @@
 // A service that callers may name; its index in the table is its ServiceId.
 struct ServiceName {
   std::string name;
+  // Class of requests that name none; the first one when invalid.
+  ClassId default_class{};
 };
 
 // A request class; its index in the table is its ClassId.
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -56,8 +56,7 @@
   // Has the caller's connection closed after the answer.
   void CloseAfterAnswer() { close_after_answer_ = true; }
 
-  // Has the request refused once its body has arrived, or at once when the
-  // refusal closes the connection.
+  // Has the request refused once its body has arrived.
   void RefuseWhenRead(const Refusal& refusal);
   // Answers now.
   void Refuse(const Refusal& refusal);
--- a/src/edge/relay_request.cc
+++ b/src/edge/relay_request.cc
@@ -179,7 +179,9 @@
                RelayRequest* out,
                Duration* default_deadline) {
   const char* text = evhtp_header_find(request->headers_in, kClassHeader);
-  size_t index = 0;
+  const ServiceName& service = tables.services[out->traits.service.value];
+  size_t index =
+      service.default_class.IsValid() ? service.default_class.value : 0;
   if (text) {
     const auto found =
         std::find_if(tables.classes.begin(), tables.classes.end(),
@@ -244,8 +246,16 @@
                        RelayRequest* out,
                        Refusal* refusal) {
   out->traits.arrival = now;
-  out->method = htparser_get_methodstr_m(request->method);
   out->head_request = request->method == htp_method_HEAD;
+  if (request->method == htp_method_CONNECT ||
+      request->method >= htp_method_UNKNOWN) {
+    *refusal = {.status = 405,
+                .error = "method_not_allowed",
+                .fault = Fault::kMalformed,
+                .close = true};
+    return false;
+  }
+  out->method = htparser_get_methodstr_m(request->method);
   if (!ReadHeaders(request, out)) {
     *refusal = {.status = 400,
                 .error = "malformed",
--- a/src/edge/server_impl.h
+++ b/src/edge/server_impl.h
@@ -80,9 +80,6 @@
                           evhtp_path_t* path,
                           void* caller);
   static void OnEvent(evhtp_connection_t* conn, short events, void* caller);
-  static evhtp_res OnConnError(evhtp_connection_t* conn,
-                               evhtp_error_flags flags,
-                               void* caller);
   static evhtp_res OnCallerWritten(evhtp_connection_t* conn, void* caller);
   static evhtp_res OnRequestReleased(evhtp_request_t* request, void* caller);
   static evhtp_res OnCallerClosed(evhtp_connection_t* conn, void* caller);
@@ -98,6 +95,8 @@
   void AnswerFault(evhtp_request_t* request, const Refusal& refusal);
   void SendWhole(evhtp_request_t* request, std::string_view text);
   void ResumeCallers();
+  static bool IsUnparsable(const evhtp_connection_t* conn,
+                           const Caller& caller);
   void SendParseError(evhtp_connection_t* conn, Caller* caller);
 
   void StartRelay(evhtp_request_t* request, Caller* caller);
--- a/src/edge/server_listen.cc
+++ b/src/edge/server_listen.cc
@@ -1,4 +1,5 @@
 #include <netinet/in.h>
+#include <strings.h>
 #include <sys/socket.h>
 
 #include <csignal>
@@ -14,8 +15,6 @@
 
 constexpr int kBacklog = 1'024;
 constexpr size_t kUnparsedBytes = size_t{16} << 10;
-// Flags that libevhtp passes when its parser gave up.
-constexpr evhtp_error_flags kParserFailed = 0xff;
 
 std::string RandomPrefix() {
   std::random_device source;
@@ -56,6 +55,14 @@
          htparser_get_total_bytes_read(request->conn->parser) + kUncounted;
 }
 
+// Whether the last header that the parser came to is the body's length. It
+// calls a bad one too big, as it does headers.
+bool StoppedAtLength(const evhtp_request_t* request) {
+  const evhtp_kv_t* last =
+      request ? TAILQ_LAST(request->headers_in, evhtp_kvs) : nullptr;
+  return last && strcasecmp(last->key, "Content-Length") == 0;
+}
+
 }  // namespace
 
 Server::Impl::Impl(event_base* base,
@@ -167,8 +174,6 @@
   evhtp_connection_set_hook(conn, evhtp_hook_on_path, ToHook(&OnPath), caller);
   evhtp_connection_set_hook(conn, evhtp_hook_on_header, ToHook(&OnHeader),
                             caller);
-  evhtp_connection_set_hook(conn, evhtp_hook_on_conn_error,
-                            ToHook(&OnConnError), caller);
   evhtp_connection_set_hook(conn, evhtp_hook_on_event, ToHook(&OnEvent),
                             caller);
   evhtp_connection_set_hook(conn, evhtp_hook_on_write, ToHook(&OnCallerWritten),
@@ -199,34 +204,35 @@
   return EVHTP_RES_ERROR;
 }
 
-// Lets libevhtp free the connection even though a request is under way.
 void Server::Impl::OnEvent(evhtp_connection_t* conn, short events, void* arg) {
-  if (events & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) {
-    conn->flags &= static_cast<uint16_t>(~EVHTP_CONN_FLAG_PAUSED);
+  if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) == 0) {
+    return;
+  }
+  // Lets libevhtp free the connection even though a request is under way.
+  conn->flags &= static_cast<uint16_t>(~EVHTP_CONN_FLAG_PAUSED);
+  Impl* server = static_cast<Caller*>(arg)->server;
+  const bool idle =
+      !conn->request || (conn->request->flags & EVHTP_REQ_FLAG_FINISHED) != 0;
+  if ((events & BEV_EVENT_TIMEOUT) != 0 && !idle) {
+    server->CountFault(Fault::kCallerTimeout);
+  } else if (events & BEV_EVENT_ERROR) {
+    server->CountFault(Fault::kCallerReset);
   }
 }
 
-evhtp_res Server::Impl::OnConnError(evhtp_connection_t* conn,
-                                    evhtp_error_flags flags,
-                                    void* arg) {
-  auto* caller = static_cast<Caller*>(arg);
-  if (flags == kParserFailed) {
-    caller->server->SendParseError(conn, caller);
-  } else if (flags & BEV_EVENT_TIMEOUT) {
-    const bool idle =
-        !conn->request || (conn->request->flags & EVHTP_REQ_FLAG_FINISHED) != 0;
-    if (!idle) {
-      caller->server->CountFault(Fault::kCallerTimeout);
-    }
-  } else if (flags & BEV_EVENT_ERROR) {
-    caller->server->CountFault(Fault::kCallerReset);
-  }
-  return EVHTP_RES_OK;
+// libevhtp closes connections that it can't parse without an answer.
+bool Server::Impl::IsUnparsable(const evhtp_connection_t* conn,
+                                const Caller& caller) {
+  const htpparse_error error = htparser_get_error(conn->parser);
+  return caller.headers_too_large ||
+         (error != htparse_error_none && error != htparse_error_user);
 }
 
 void Server::Impl::SendParseError(evhtp_connection_t* conn, Caller* caller) {
-  const bool large = caller->headers_too_large ||
-                     htparser_get_error(conn->parser) == htparse_error_too_big;
+  const bool large =
+      caller->headers_too_large ||
+      (htparser_get_error(conn->parser) == htparse_error_too_big &&
+       !StoppedAtLength(conn->request));
   CountFault(large ? Fault::kHeadersTooLarge : Fault::kMalformed);
   if (caller->relay && caller->relay->state() != Relay::State::kPending) {
     return;
@@ -288,7 +294,11 @@
 }
 
 evhtp_res Server::Impl::OnCallerClosed(evhtp_connection_t* conn, void* arg) {
-  Impl* server = static_cast<Caller*>(arg)->server;
+  auto* caller = static_cast<Caller*>(arg);
+  Impl* server = caller->server;
+  if (IsUnparsable(conn, *caller)) {
+    server->SendParseError(conn, caller);
+  }
   --server->stats_.caller_connections;
   std::erase(server->resume_, conn);
   server->callers_.erase(conn);
@@ -391,7 +401,12 @@
   Refusal refusal;
   if (!ParseRelayRequest(request, tables_, now, &relay->spec(), &refusal) ||
       !CheckTicket(relay->spec(), &refusal)) {
-    relay->RefuseWhenRead(refusal);
+    if (refusal.close) {
+      CountFault(refusal.fault);
+      relay->Refuse(refusal);
+    } else {
+      relay->RefuseWhenRead(refusal);
+    }
     return;
   }
   if (drain_state_ != DrainState::kServing) {
--- /dev/null
+++ b/src/load/caller_pool.h
@@ -0,0 +1,70 @@
+#ifndef COMFREYSTAND_SRC_LOAD_CALLER_POOL_H_
+#define COMFREYSTAND_SRC_LOAD_CALLER_POOL_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "src/edge/event_handles.h"
+#include "src/edge/http_connection.h"
+
+namespace comfreystand::load {
+
+// What came of one call.
+struct Reply {
+  enum class Outcome : uint8_t { kWhole, kTruncated, kUnanswered, kNotSent };
+  Outcome outcome = Outcome::kNotSent;
+  edge::AnswerHead head;
+  std::string body;
+};
+
+using ReplyCallback = std::function<void(const Reply& reply)>;
+
+// Calls servers over as many connections as it takes, up to a bound.
+class CallerPool final : public edge::ConnectionOwner {
+ public:
+  CallerPool(event_base* base, int max_connections, Duration timeout);
+  ~CallerPool() override;
+  CallerPool(const CallerPool&) = delete;
+  CallerPool& operator=(const CallerPool&) = delete;
+
+  // Sends `request`, a whole HTTP request, to "a.b.c.d:port".
+  void Call(const std::string& address,
+            const std::string& request,
+            ReplyCallback done);
+
+  void OnConnected(edge::HttpConnection* connection) override {}
+  void OnIdle(edge::HttpConnection* connection) override;
+  void OnClosed(edge::HttpConnection* connection,
+                edge::ExchangeFailure failure) override;
+
+ private:
+  class CallExchange;
+  struct Server {
+    sockaddr_in address{};
+    std::vector<edge::HttpConnection*> idle;
+  };
+  struct Slot {
+    std::unique_ptr<edge::HttpConnection> connection;
+    Server* server = nullptr;
+  };
+
+  edge::HttpConnection* Acquire(Server* server);
+  void Retire(CallExchange* call);
+
+  event_base* const base_;
+  const size_t max_connections_;
+  const edge::HttpConnection::Timeouts timeouts_;
+  std::unordered_map<std::string, Server> servers_;
+  std::unordered_map<edge::HttpConnection*, Slot> slots_;
+  std::unordered_map<CallExchange*, std::unique_ptr<CallExchange>> calls_;
+  std::vector<std::unique_ptr<edge::HttpConnection>> closed_;
+  std::vector<std::unique_ptr<CallExchange>> retired_;
+  edge::EventPtr sweep_;
+};
+
+}  // namespace comfreystand::load
+
+#endif  // COMFREYSTAND_SRC_LOAD_CALLER_POOL_H_
--- /dev/null
+++ b/src/load/load.cc
@@ -0,0 +1,300 @@
+#include "comfreystand/load.h"
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <pcg_random.hpp>
+#include <random>
+#include <utility>
+
+#include "comfreystand/edge.h"
+#include "src/load/caller_pool.h"
+#include "src/load/histogram.h"
+
+namespace comfreystand::load {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(1);
+constexpr Duration kProgressInterval = std::chrono::seconds(1);
+constexpr int kFirstErrorStatus = 400;
+constexpr double kMicrosPerSecond = 1e6;
+
+struct BaseDeleter {
+  void operator()(event_base* base) const { event_base_free(base); }
+};
+
+// One request and what its caller was told.
+struct Operation {
+  bool idempotent = false;
+  std::optional<RunVerdict> verdict;
+};
+
+class Generator {
+ public:
+  Generator(const Options& options,
+            const std::function<void(const Progress&)>& progress)
+      : options_(options),
+        progress_(progress),
+        base_(event_base_new()),
+        pool_(base_.get(), options.max_connections, options.grace),
+        random_(options.seed),
+        tick_(event_new(
+            base_.get(),
+            -1,
+            EV_PERSIST,
+            [](evutil_socket_t, short, void* self) {
+              static_cast<Generator*>(self)->OnTick();
+            },
+            this)) {
+    std::vector<double> weights;
+    for (const ClassMix& mix : options_.classes) {
+      weights.push_back(mix.weight);
+    }
+    class_of_ =
+        std::discrete_distribution<size_t>(weights.begin(), weights.end());
+  }
+
+  Result Run() {
+    start_ = next_ = clock_.Now();
+    const timeval tick = edge::ToTimeval(kTick);
+    event_add(tick_.get(), &tick);
+    event_base_dispatch(base_.get());
+    Summarize();
+    return std::move(result_);
+  }
+
+ private:
+  // Starts what is due, then ends the phase once it is over.
+  void OnTick() {
+    const TimePoint now = clock_.Now();
+    const TimePoint end = start_ + options_.duration;
+    while (next_ <= now && next_ < end) {
+      Send(next_);
+      next_ += Gap();
+    }
+    if (progress_ && now - reported_ >= kProgressInterval) {
+      reported_ = now;
+      progress_({now - start_, result_.sent, result_.answered});
+    }
+    const bool sent_all = next_ >= end && now >= end;
+    if (!sent_all || checking_) {
+      return;
+    }
+    if (open_ == 0 || now >= end + options_.grace) {
+      result_.unanswered += open_;
+      result_.seconds =
+          static_cast<double>((now - start_).count()) / kMicrosPerSecond;
+      checking_ = true;
+      CheckRuns();
+    }
+  }
+
+  Duration Gap() {
+    std::exponential_distribution<double> gap(options_.rate.value);
+    return Duration(std::llround(gap(random_) * kMicrosPerSecond));
+  }
+
+  double Draw() { return std::uniform_real_distribution<double>()(random_); }
+
+  const std::string& NextEntryVm() {
+    return options_.entry_vms[turn_++ % options_.entry_vms.size()];
+  }
+
+  void Send(TimePoint due) {
+    ++result_.sent;
+    ++open_;
+    if (Draw() < options_.lookup_share.value || options_.classes.empty()) {
+      SendLookup(due);
+      return;
+    }
+    const size_t index = class_of_(random_);
+    const bool idempotent = Draw() < options_.idempotent_share.value;
+    const std::string& entry_vm = NextEntryVm();
+    if (idempotent || !options_.tickets) {
+      SendRequest(due, index, idempotent, entry_vm, {});
+      return;
+    }
+    pool_.Call(
+        entry_vm, "GET /v1/ticket HTTP/1.1\r\nHost: " + entry_vm + "\r\n\r\n",
+        [=, this](const Reply& reply) {
+          const auto json = nlohmann::json::parse(reply.body, nullptr, false);
+          if (!json.is_object() || !json.contains("ticket")) {
+            Count(reply);
+            return;
+          }
+          SendRequest(due, index, false, entry_vm,
+                      json["ticket"].get<std::string>());
+        });
+  }
+
+  void SendLookup(TimePoint due) {
+    const uint32_t client = std::uniform_int_distribution<uint32_t>()(random_);
+    const std::string address = std::to_string(client >> 24) + "." +
+                                std::to_string(client >> 16 & 0xff) + "." +
+                                std::to_string(client >> 8 & 0xff) + "." +
+                                std::to_string(client & 0xff);
+    const std::string& entry_vm = NextEntryVm();
+    pool_.Call(entry_vm,
+               "GET /v1/lookup?client=" + address +
+                   " HTTP/1.1\r\nHost: " + entry_vm + "\r\n\r\n",
+               [this, due](const Reply& reply) {
+                 if (Count(reply)) {
+                   lookups_.Add(clock_.Now() - due);
+                 }
+               });
+  }
+
+  void SendRequest(TimePoint due,
+                   size_t index,
+                   bool idempotent,
+                   const std::string& entry_vm,
+                   const std::string& ticket) {
+    const ClassMix& mix = options_.classes[index];
+    const std::string id = std::to_string(options_.seed) + "-" +
+                           std::to_string(operations_.size());
+    operations_[id].idempotent = idempotent;
+    const auto millis = [](Duration duration) {
+      return std::to_string(
+          std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+              .count());
+    };
+    std::string text = std::string(idempotent ? "GET" : "POST") + " /v1/s/" +
+                       options_.service + "/" + mix.name +
+                       "?work_ms=" + millis(mix.work) +
+                       "&body_bytes=" + std::to_string(mix.answer_bytes) +
+                       " HTTP/1.1\r\nHost: " + entry_vm + "\r\n";
+    text += std::string(edge::kOperationHeader) + ": " + id + "\r\n";
+    text += std::string(edge::kClassHeader) + ": " + mix.name + "\r\n";
+    text += std::string(edge::kDeadlineHeader) + ": " +
+            millis(options_.deadline) + "\r\n";
+    if (!ticket.empty()) {
+      text += std::string(edge::kTicketHeader) + ": " + ticket + "\r\n";
+    }
+    pool_.Call(entry_vm, text + "\r\n",
+               [this, due, index, id](const Reply& reply) {
+                 OnAnswer(due, index, id, reply);
+               });
+  }
+
+  void OnAnswer(TimePoint due,
+                size_t index,
+                const std::string& id,
+                const Reply& reply) {
+    const bool good = Count(reply);
+    RunVerdict verdict = RunVerdict::kMayHaveRun;
+    const std::string* text = reply.head.Find(edge::kVerdictHeader);
+    if (text && ParseRunVerdict(*text, &verdict)) {
+      ++result_.by_verdict[static_cast<size_t>(verdict)];
+      operations_[id].verdict = verdict;
+    }
+    if (!good) {
+      return;
+    }
+    const ClassMix& mix = options_.classes[index];
+    const size_t size = std::max(mix.answer_bytes, id.size() + 1);
+    if (!reply.body.starts_with(id + "\n") || reply.body.size() != size) {
+      ++result_.mixed_answers;
+    }
+    requests_[mix.name].Add(clock_.Now() - due);
+  }
+
+  // Counts the end of a call. Returns whether a good answer came whole.
+  bool Count(const Reply& reply) {
+    // Answers that come after the end were counted as missing.
+    if (checking_) {
+      return false;
+    }
+    --open_;
+    switch (reply.outcome) {
+      case Reply::Outcome::kNotSent:
+        ++result_.not_sent;
+        return false;
+      case Reply::Outcome::kUnanswered:
+        ++result_.unanswered;
+        return false;
+      case Reply::Outcome::kTruncated:
+        ++result_.truncated;
+        return false;
+      case Reply::Outcome::kWhole:
+        break;
+    }
+    ++result_.answered;
+    ++result_.by_status[reply.head.status];
+    return reply.head.status < kFirstErrorStatus;
+  }
+
+  void CheckRuns() {
+    if (options_.backends.empty()) {
+      event_base_loopbreak(base_.get());
+      return;
+    }
+    result_.runs_checked = true;
+    runs_pending_ = options_.backends.size();
+    for (const std::string& backend : options_.backends) {
+      pool_.Call(backend, "GET /runs HTTP/1.1\r\nHost: " + backend + "\r\n\r\n",
+                 [this](const Reply& reply) { AddRuns(reply); });
+    }
+  }
+
+  void AddRuns(const Reply& reply) {
+    const auto json = nlohmann::json::parse(reply.body, nullptr, false);
+    if (json.is_object() && json.contains("operations")) {
+      for (const auto& [id, starts] : json["operations"].items()) {
+        starts_[id] += starts.get<uint64_t>();
+      }
+    } else {
+      result_.runs_checked = false;
+    }
+    if (--runs_pending_ == 0) {
+      event_base_loopbreak(base_.get());
+    }
+  }
+
+  void Summarize() {
+    for (const auto& [id, operation] : operations_) {
+      const auto found = starts_.find(id);
+      const uint64_t starts = found == starts_.end() ? 0 : found->second;
+      result_.duplicate_runs += !operation.idempotent && starts > 1 ? 1 : 0;
+      result_.false_not_run +=
+          operation.verdict == RunVerdict::kNotRun && starts > 0 ? 1 : 0;
+    }
+    result_.lookups = lookups_.Summary();
+    for (const auto& [name, histogram] : requests_) {
+      result_.requests[name] = histogram.Summary();
+    }
+  }
+
+  const Options& options_;
+  const std::function<void(const Progress&)>& progress_;
+  SystemClock clock_;
+  std::unique_ptr<event_base, BaseDeleter> base_;
+  CallerPool pool_;
+  pcg64 random_;
+  std::discrete_distribution<size_t> class_of_;
+  edge::EventPtr tick_;
+  TimePoint start_;
+  TimePoint next_;
+  TimePoint reported_;
+  size_t turn_ = 0;
+  uint64_t open_ = 0;
+  bool checking_ = false;
+  size_t runs_pending_ = 0;
+  Result result_;
+  LatencyHistogram lookups_;
+  std::map<std::string, LatencyHistogram> requests_;
+  std::map<std::string, Operation> operations_;
+  std::map<std::string, uint64_t> starts_;
+};
+
+}  // namespace
+
+Result Run(const Options& options,
+           const std::function<void(const Progress&)>& progress) {
+  if (options.entry_vms.empty() || options.rate.value <= 0) {
+    return {};
+  }
+  return Generator(options, progress).Run();
+}
+
+}  // namespace comfreystand::load
--- a/tests/edge_test.cc
+++ b/tests/edge_test.cc
@@ -74,7 +74,7 @@
   EdgeWorld world;
   SUBCASE("gets the whole answer of a backend server") {
     for (const char* framing : {"", "&chunked=1", "&close=1"}) {
-      CAPTURE(framing);
+      CAPTURE(std::string(framing));
       const auto caller = world.Fetch(
           Request("GET", std::string("/a?body_bytes=1000000") + framing,
                   kClose + Operation("op-1")));
@@ -189,7 +189,7 @@
        AttemptEvent::kCancelledBeforeStart},
   };
   for (const Case& c : cases) {
-    CAPTURE(c.name);
+    CAPTURE(std::string(c.name));
     EdgeWorld world;
     CHECK(world.backend(0).Control(c.control));
     const auto caller =
@@ -336,7 +336,7 @@
       {"garbage", "Comfreystand-Ticket: x\r\n", 400, "not-run"},
   };
   for (const Case& c : cases) {
-    CAPTURE(c.name);
+    CAPTURE(std::string(c.name));
     const auto caller =
         world.Fetch(Request("POST", "/a", std::string(kClose) + c.ticket));
     CHECK(caller->Status() == c.status);
--- a/tests/support/edge_world.cc
+++ b/tests/support/edge_world.cc
@@ -106,7 +106,7 @@
 EdgeWorld::EdgeWorld(int backends, edge::ServerInit init)
     : base(event_base_new()) {
   std::signal(SIGPIPE, SIG_IGN);
-  init.services = {{"desk"}, {"register"}};
+  init.services = {{"desk", ClassId()}, {"register", ClassId(1)}};
   init.classes = {{"short", std::chrono::seconds(10)},
                   {"report", std::chrono::seconds(60)}};
   init.sites = {{SiteId(0), "west", {"10.0.0.1:80", "10.0.0.2:80"}},
