--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,10 @@
 	@bash scripts/build.sh sanitize
 	@bash scripts/test.sh sanitize
 
+# Histories under faults over many seeds; SEEDS and FIRST choose them.
+soak: build
+	@bash scripts/soak.sh
+
 # Regenerates the committed protobuf and gRPC code.
 proto: setup
 	@bash scripts/proto.sh
--- a/tests/hours_test.cc
+++ b/tests/hours_test.cc
@@ -115,6 +115,16 @@
     }
   }
 
+  SUBCASE("and writes that the store drops are seen as such") {
+    run.fleet.store.swallow_prefix = "comfreystand/hours/";
+    run.fleet.loop.RunFor(1h);
+    for (const HourStatus& hour : run.Read()) {
+      CHECK_FALSE(hour.has_value);
+      CHECK_FALSE(hour.reason.empty());
+      CHECK(hour.counts.answered != run.truth[hour.hour.value]);
+    }
+  }
+
   SUBCASE("and lost answers never add a count twice") {
     run.fleet.store.faults.lost_answer = 0.3;
     run.fleet.store.faults.late_effect = 0.2;
