--- a/bench/cluster_bench.cc
+++ b/bench/cluster_bench.cc
@@ -105,6 +105,8 @@
   report->results.push_back(MakeResult("store_calls_s", "calls/s",
                                        Extrapolate(calls.points, kTargetNodes),
                                        kWatchesPerSecond, 300));
+  report->results.push_back(
+      MakeResult("leaving_spread_s", "s", largest.leaving_seconds, 0, 3));
   const double seven = testing::MeasureInForce(7, 1, 20);
   report->results.push_back(MakeResult(
       "rule_in_force_s", "s", std::max(seven, largest.in_force_seconds), 0, 9));
@@ -149,7 +151,7 @@
 
 void RegisterClusterBenchmarks() {
   Register({"control_kb_s", "control_cpu_percent", "control_rss_mb",
-            "store_calls_s", "rule_in_force_s"},
+            "store_calls_s", "leaving_spread_s", "rule_in_force_s"},
            &MeasureFleets);
   Register({"hours_missing"}, &MeasureHours);
   Register({"accept_wait_ms", "accept_wait_writes"}, &MeasureAcceptance);
--- a/tests/support/fleet_measure.cc
+++ b/tests/support/fleet_measure.cc
@@ -67,6 +67,24 @@
   return seconds;
 }
 
+// Reports a leaving backend server at one node and waits for all nodes.
+double LeavingSeconds(TestFleet& fleet) {
+  const TimePoint from = fleet.loop.Now();
+  const std::string address = "10.9.9.9:80";
+  fleet.At(1)->membership->ReportLeaving({"backend", address,
+                                          member::LeaveSource::kBackend,
+                                          fleet.loop.WallNow()});
+  int known = 0;
+  while (known < fleet.Places() && fleet.loop.Now() - from < kSpreadLimit) {
+    fleet.loop.RunFor(10ms);
+    known = 0;
+    for (int place = 0; place < fleet.Places(); ++place) {
+      known += fleet.At(place)->membership->IsLeaving("backend", address);
+    }
+  }
+  return Seconds(fleet.loop.Now() - from);
+}
+
 TrafficCounts Sum(const FakeNetwork& network) {
   TrafficCounts sum;
   for (const auto& [address, counts] : network.counts) {
@@ -108,6 +126,7 @@
   costs.store_calls_per_second =
       static_cast<double>(fleet.store.counts.Total()) / Seconds(kWindow);
   costs.in_force_seconds = SpreadSeconds(fleet, "change-1");
+  costs.leaving_seconds = LeavingSeconds(fleet);
   costs.heap_mb = (HeapBytes() - heap_before) / costs.nodes / 1e6;
   costs.document_bytes =
       static_cast<double>(fleet.At(0)->spread->Bytes().size());
--- a/tests/support/fleet_measure.h
+++ b/tests/support/fleet_measure.h
@@ -21,6 +21,8 @@
   // Slowest node after an acceptance with the store lost right after it.
   double in_force_seconds = 0;
   double document_bytes = 0;
+  // Until the last node knows of a leaving backend server.
+  double leaving_seconds = 0;
 };
 
 // Runs a fleet in virtual time and measures it.
