--- a/tests/member_test.cc
+++ b/tests/member_test.cc
@@ -16,7 +16,7 @@
 using testing::TestFleet;
 using testing::TestNode;
 
-constexpr int64_t kSevenHours = 7 * 3600;
+constexpr int64_t kSevenHours = 25'200;
 
 FleetInit MakeInit(uint64_t seed, int domains = 2, int nodes = 3) {
   FleetInit init;
