--- a/src/member/summaries.cc
+++ b/src/member/summaries.cc
@@ -36,7 +36,8 @@
                     [](const MemberInfo& x, const MemberInfo& y) {
                       return x.node == y.node &&
                              x.incarnation == y.incarnation &&
-                             x.state == y.state && x.address == y.address;
+                             x.state == y.state && x.address == y.address &&
+                             x.site == y.site;
                     });
 }
 
@@ -113,6 +114,7 @@
         added->set_node(member.node.value);
         added->set_incarnation(member.incarnation.value);
         added->set_address(member.address);
+        added->set_site(member.site.value);
         added->set_leaving(member.state == MemberState::kLeaving);
       }
     }
@@ -170,6 +172,7 @@
       info.node = NodeId(member.node());
       info.incarnation = {member.incarnation()};
       info.address = member.address();
+      info.site = NameKey{member.site()};
       info.state =
           member.leaving() ? MemberState::kLeaving : MemberState::kAlive;
     }
