--- a/tests/hours_test.cc
+++ b/tests/hours_test.cc
@@ -115,6 +115,20 @@
     }
   }
 
+  SUBCASE("and writes that the store drops are seen as such") {
+    run.fleet.store.swallow_prefix = "comfreystand/hours/";
+    run.fleet.loop.RunFor(2h);
+    const std::vector<HourStatus> hours = run.Read();
+    REQUIRE(hours.size() == 2);
+    for (const HourStatus& hour : hours) {
+      CHECK_FALSE(hour.reason.empty());
+      CHECK(hour.counts.answered != run.truth[hour.hour.value]);
+    }
+    // The first half hour was written before.
+    CHECK(hours[0].has_value);
+    CHECK_FALSE(hours[1].has_value);
+  }
+
   SUBCASE("and lost answers never add a count twice") {
     run.fleet.store.faults.lost_answer = 0.3;
     run.fleet.store.faults.late_effect = 0.2;
