Slots by grants, tickets, load, bench and look-up verbs in the node

Cause: requests at entry VMs outside the first failure domain were refused 503 as overloaded once slot limits were on. The dispatcher counts failure domain 0 as its own, and handles followed the rule file's order. Ruled out: the quiet time after a start (it leaves half of the share) and the ledger's shares (the node's place matched). Change: the own failure domain always has the first stable handle. Attempts start only on slots that the node owns or was lent; non-idempotent requests need a ticket. Verbs load, lookup and bench. Conclusion: each node uses what it holds and borrows the rest.

--- a/include/comfreystand/steer/region.h
+++ b/include/comfreystand/steer/region.h
@@ -79,6 +79,17 @@
                                      TimePoint until,
                                      Bytes expected);
 
+  // As Place(), but only in failure domain `domain`, which the caller has
+  // chosen among those with free slots.
+  std::optional<SlotPlacement> PlaceIn(TimePoint now,
+                                       ServiceId service,
+                                       DomainId domain,
+                                       TimePoint until,
+                                       Bytes expected);
+
+  // Counts requests that wait since no slot was free.
+  void NoteWaiting(ServiceId service, uint64_t requests);
+
   // Gives a slot back after `actual` bytes.
   void Finish(TimePoint now, const SlotPlacement& placement, Bytes actual);
 
@@ -113,10 +124,13 @@
     double need = 0;
   };
 
+  // Borrows in `domain`, or anywhere when that is invalid.
   std::optional<SlotPlacement> Borrow(TimePoint now,
                                       ServiceId service,
+                                      DomainId domain,
                                       TimePoint until,
                                       Bytes expected);
+  void Count(Demand* demand, bool placed);
   void UpdateDemand(Demand* demand);
   int Wish(TimePoint now, const Demand& demand, const Owner& owner) const;
   int OwnersIn(bool same_region) const;
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -103,5 +103,5 @@
 for i in 0 3 6; do
   curl -sS "http://127.0.0.$((11 + i)):${ports[0]}/v1/lookup?client=10.1.2.3"
   echo
-  curl -s -i "http://127.0.0.$((11 + i)):${ports[0]}/v1/s/bay-desk/floats?work_ms=2" | head -8
+  curl -s -i "http://127.0.0.$((11 + i)):${ports[0]}/v1/s/bay-desk/floats?work_ms=2" | head -12
 done
--- /dev/null
+++ b/src/cli/load_verb.cc
@@ -0,0 +1,89 @@
+#include <algorithm>
+#include <array>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "comfreystand/load.h"
+#include "src/cli/verbs.h"
+
+namespace comfreystand::cli {
+namespace {
+
+constexpr char kClassOption[] = "class";
+
+// The options of the load library as those of the verb.
+std::vector<Option> LoadOptions() {
+  std::vector<Option> options;
+  for (const load::OptionSpec& spec : load::OptionTable())
+    options.push_back({spec.name, spec.argument, "", spec.help});
+  return options;
+}
+
+const std::vector<Option>& Options() {
+  static const std::vector<Option> options = LoadOptions();
+  return options;
+}
+
+// Classes are given as one list, separated by commas.
+bool SetClasses(const load::OptionSpec& spec,
+                const std::string& text,
+                load::Options* options) {
+  size_t begin = 0;
+  while (begin <= text.size()) {
+    const size_t end = std::min(text.find(',', begin), text.size());
+    if (!spec.set(std::string_view(text).substr(begin, end - begin), options))
+      return false;
+    begin = end + 1;
+  }
+  return true;
+}
+
+bool SetOption(const load::OptionSpec& spec,
+               const std::string& text,
+               load::Options* options) {
+  return spec.name == std::string_view(kClassOption)
+             ? SetClasses(spec, text, options)
+             : spec.set(text, options);
+}
+
+ExitCode RunLoad(const Invocation& invocation) {
+  load::Options options;
+  for (const load::OptionSpec& spec : load::OptionTable()) {
+    const std::string text = invocation.Get(spec.name);
+    if (text.empty())
+      continue;
+    if (!SetOption(spec, text, &options)) {
+      invocation.Err() << "comfreystand: --" << spec.name
+                       << ": bad value; expected " << spec.argument << '\n';
+      return ExitCode::kUsage;
+    }
+  }
+  if (options.entry_vms.empty() || options.service.empty()) {
+    invocation.Err() << "comfreystand: --entry-vm and --service are required\n";
+    return ExitCode::kUsage;
+  }
+  const load::Result result = load::Run(options);
+  invocation.Out() << (invocation.Json() ? load::ToJson(result) + "\n"
+                                         : load::ToTable(result));
+  const bool clean = result.mixed_answers == 0 && result.duplicate_runs == 0 &&
+                     result.false_not_run == 0;
+  return clean ? ExitCode::kOk : ExitCode::kFailed;
+}
+
+constexpr std::array<Example, 1> kExamples = {
+    {{"comfreystand load --entry-vm 10.10.1.11:8080 --service bay-desk "
+      "--rate 200 --seconds 10 --class short:9:2,report:1:200",
+      "Sends 200 calls a second, a tenth of them long."}}};
+
+}  // namespace
+
+const Verb kLoadVerb = {
+    .name = "load",
+    .summary = "Send open-loop load and check every answer.",
+    .run = &RunLoad,
+    .options = Options(),
+    .examples = kExamples,
+    .json = true};
+
+}  // namespace comfreystand::cli
--- a/src/cli/verbs.cc
+++ b/src/cli/verbs.cc
@@ -5,9 +5,10 @@
 namespace comfreystand::cli {
 namespace {
 
-constexpr std::array kVerbs = {&kNodeVerb,          &kRulesBootstrapVerb,
-                               &kRulesCheckVerb,    &kRulesDiffVerb,
-                               &kSettingsCheckVerb, &kSettingsDescribeVerb};
+constexpr std::array kVerbs = {
+    &kNodeVerb,      &kRulesBootstrapVerb, &kRulesCheckVerb,
+    &kRulesDiffVerb, &kSettingsCheckVerb,  &kSettingsDescribeVerb,
+    &kLookupVerb,    &kLoadVerb,           &kBenchVerb};
 
 }  // namespace
 
--- a/src/cli/verbs.h
+++ b/src/cli/verbs.h
@@ -9,6 +9,9 @@
 // declared here and listed in verbs.cc.
 namespace comfreystand::cli {
 
+extern const Verb kBenchVerb;
+extern const Verb kLoadVerb;
+extern const Verb kLookupVerb;
 extern const Verb kNodeVerb;
 extern const Verb kRulesBootstrapVerb;
 extern const Verb kRulesCheckVerb;
--- /dev/null
+++ b/src/node/metrics.h
@@ -0,0 +1,35 @@
+#ifndef COMFREYSTAND_SRC_NODE_METRICS_H_
+#define COMFREYSTAND_SRC_NODE_METRICS_H_
+
+#include <prometheus/collectable.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace comfreystand::node {
+
+// One value of the node as a metric.
+struct MetricSource {
+  std::string name;
+  std::string help;
+  bool is_counter = true;
+  std::function<double()> read;
+  // Name and value of a label; empty for none.
+  std::string label;
+  std::string label_value;
+};
+
+// Collects a table of sources when the metrics endpoint is asked.
+class NodeMetrics final : public prometheus::Collectable {
+ public:
+  explicit NodeMetrics(std::vector<MetricSource> sources);
+  std::vector<prometheus::MetricFamily> Collect() const override;
+
+ private:
+  std::vector<MetricSource> sources_;
+};
+
+}  // namespace comfreystand::node
+
+#endif  // COMFREYSTAND_SRC_NODE_METRICS_H_
--- a/src/node/names.cc
+++ b/src/node/names.cc
@@ -48,6 +48,10 @@
                                : static_cast<size_t>(found - names_.begin());
 }
 
+StableNames::StableNames(std::string_view own_domain) {
+  domains_.Intern(own_domain);
+}
+
 RuleSet StableNames::Rewrite(const RuleSet& rules) {
   RuleSet stable = rules;
   stable.regions = Place(rules.regions, &regions_);
--- a/src/node/names.h
+++ b/src/node/names.h
@@ -31,6 +31,9 @@
 // has stays, without entry VMs or backend servers.
 class StableNames {
  public:
+  // Reserves the first handle for the own failure domain.
+  explicit StableNames(std::string_view own_domain);
+
   // `rules` with its handles exchanged for stable ones.
   RuleSet Rewrite(const RuleSet& rules);
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -60,8 +60,8 @@
       settings_(settings),
       store_(loop->base(), settings.store_address.text),
       vm_list_(loop->base(), settings.vm_list_address.text),
+      names_(settings.domain),
       lookup_(LookupInit(settings)),
-      dispatcher_(steer::CreateDispatcher(DispatchInit(settings))),
       stop_(StopInit(settings)) {}
 
 Node::Impl::~Impl() = default;
@@ -84,6 +84,7 @@
   transport_ = std::make_unique<peer::GrpcTransport>(loop_, tls);
   StartMembership();
   StartRules();
+  StartDispatch();
   peer_server_ = std::make_unique<peer::GrpcServer>(
       loop_, settings_.peer_address.text, tls,
       [this](const wire::Envelope& request) { return HandlePeer(request); });
@@ -96,6 +97,8 @@
   membership_->Start();
   spread_->Start();
   Tick();
+  ScheduleLimits();
+  ScheduleRenewal();
   return true;
 }
 
@@ -134,6 +137,19 @@
   membership_->SetRuleCarrier(spread_.get());
 }
 
+void Node::Impl::StartDispatch() {
+  steer::GrantInit init;
+  init.node = NodeId(static_cast<uint32_t>(settings_.node_id));
+  init.incarnation = membership_->OwnIncarnation();
+  init.started = loop_->Now();
+  capacity_ = std::make_unique<Capacity>(
+      init, loop_, transport_.get(),
+      [this](NodeId node) { return PeerAddressOf(node); });
+  dispatcher_ = std::make_unique<GrantedDispatcher>(
+      steer::CreateDispatcher(DispatchInit(settings_)), capacity_.get());
+  tickets_ = std::make_unique<Tickets>(init.node, init.incarnation);
+}
+
 bool Node::Impl::StartEdge(std::string* error) {
   backends_ = std::make_unique<BackendDirectory>(
       dispatcher_.get(),
@@ -154,14 +170,16 @@
       static_cast<size_t>(settings_.max_answer_body.value);
   init.max_callers = settings_.max_caller_connections;
   init.backend_timeout = settings_.progress_timeout;
+  init.require_tickets = true;
   edge_ = edge::Server::Create(loop_->base(), &clock_, init, &lookup_,
-                               dispatcher_.get(), nullptr, error);
+                               dispatcher_.get(), tickets_.get(), error);
   return edge_ != nullptr;
 }
 
 wire::Envelope Node::Impl::HandlePeer(const wire::Envelope& request) {
   wire::Envelope reply;
   membership_->Handle(request, &reply);
+  capacity_->Handle(request, &reply);
   return reply;
 }
 
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -19,8 +19,10 @@
 #include "comfreystand/steer/dispatch.h"
 #include "comfreystand/steer/lookup.h"
 #include "src/node/backend_directory.h"
+#include "src/node/capacity.h"
 #include "src/node/names.h"
 #include "src/node/site_directory.h"
+#include "src/node/tickets.h"
 
 namespace comfreystand::node {
 
@@ -38,6 +40,7 @@
   bool ReadTls(peer::TlsMaterial* tls, std::string* error) const;
   void StartMembership();
   void StartRules();
+  void StartDispatch();
   bool StartEdge(std::string* error);
   wire::Envelope HandlePeer(const wire::Envelope& request);
 
@@ -46,6 +49,9 @@
   void InstallLookup(const RuleDocument& document, const RuleSet& current);
 
   // Periodic work; node_tick.cc.
+  void ScheduleLimits();
+  void ScheduleRenewal();
+  std::string PeerAddressOf(NodeId node) const;
   void ScheduleTick();
   void Tick();
   void FetchVmList();
@@ -73,7 +79,9 @@
   RuleSet rules_;
   std::unique_ptr<steer::ChangeGate> gate_;
   steer::SiteLookup lookup_;
-  std::unique_ptr<steer::Dispatcher> dispatcher_;
+  std::unique_ptr<Capacity> capacity_;
+  std::unique_ptr<GrantedDispatcher> dispatcher_;
+  std::unique_ptr<Tickets> tickets_;
   std::unique_ptr<BackendDirectory> backends_;
   std::unique_ptr<SiteDirectory> sites_;
   std::unique_ptr<edge::Server> edge_;
--- a/src/node/node_tick.cc
+++ b/src/node/node_tick.cc
@@ -9,6 +9,8 @@
 
 using platform::VmEntry;
 
+constexpr Duration kLimitPeriod = std::chrono::milliseconds(200);
+
 std::string HostOf(const std::string& address) {
   return address.substr(0, address.rfind(':') + 1);
 }
@@ -41,6 +43,38 @@
 
 }  // namespace
 
+// Loans expire between renewals, so the limits follow them closely.
+void Node::Impl::ScheduleLimits() {
+  loop_->PostDelayed(kLimitPeriod, [this, alive = std::weak_ptr<bool>(alive_)] {
+    if (alive.expired())
+      return;
+    dispatcher_->Refresh();
+    edge_->Poke();
+    ScheduleLimits();
+  });
+}
+
+void Node::Impl::ScheduleRenewal() {
+  loop_->PostDelayed(limits::kGrantRenewal,
+                     [this, alive = std::weak_ptr<bool>(alive_)] {
+                       if (alive.expired())
+                         return;
+                       capacity_->Renew(dispatcher_->Stats().queued);
+                       ScheduleRenewal();
+                     });
+}
+
+std::string Node::Impl::PeerAddressOf(NodeId node) const {
+  for (const member::DomainInfo& domain : membership_->Domains()) {
+    for (const member::MemberInfo& member : domain.members) {
+      if (member.node == node && member.reachable && domain.current &&
+          member.state != member::MemberState::kDead)
+        return member.address;
+    }
+  }
+  return {};
+}
+
 void Node::Impl::ScheduleTick() {
   loop_->PostDelayed(settings_.vm_list_interval,
                      [this, alive = std::weak_ptr<bool>(alive_)] {
--- a/src/steer/region_planner.cc
+++ b/src/steer/region_planner.cc
@@ -104,22 +104,48 @@
     ++stats_.own;
     placement = SlotPlacement{demand.key, home_domain_, std::nullopt, expected};
   } else {
-    placement = Borrow(now, service, until, expected);
+    placement = Borrow(now, service, DomainId(), until, expected);
   }
-  if (!placement) {
-    ++demand.refused;
-    ++stats_.refused;
-    return std::nullopt;
+  Count(&demand, placement.has_value());
+  return placement;
+}
+
+std::optional<SlotPlacement> RegionPlanner::PlaceIn(TimePoint now,
+                                                    ServiceId service,
+                                                    DomainId domain,
+                                                    TimePoint until,
+                                                    Bytes expected) {
+  Demand& demand = demands_[service.value];
+  std::optional<SlotPlacement> placement;
+  if (domain == home_domain_ && ledger_.AcquireOwn(now, demand.key)) {
+    ++stats_.own;
+    placement = SlotPlacement{demand.key, home_domain_, std::nullopt, expected};
+  } else {
+    placement = Borrow(now, service, domain, until, expected);
   }
-  ++demand.placed;
-  ++demand.used;
-  demand.peak = std::max(demand.peak, demand.used);
+  Count(&demand, placement.has_value());
   return placement;
 }
 
+void RegionPlanner::NoteWaiting(ServiceId service, uint64_t requests) {
+  demands_[service.value].refused += requests;
+}
+
+void RegionPlanner::Count(Demand* demand, bool placed) {
+  if (!placed) {
+    ++demand->refused;
+    ++stats_.refused;
+    return;
+  }
+  ++demand->placed;
+  ++demand->used;
+  demand->peak = std::max(demand->peak, demand->used);
+}
+
 // Owners take turns, those of the home region before the others.
 std::optional<SlotPlacement> RegionPlanner::Borrow(TimePoint now,
                                                    ServiceId service,
+                                                   DomainId domain,
                                                    TimePoint until,
                                                    Bytes expected) {
   const ServiceKey key = demands_[service.value].key;
@@ -127,7 +153,8 @@
   for (const bool same_region : {true, false}) {
     for (size_t i = 0; i < owners_.size(); ++i) {
       const Owner& owner = owners_[(next_owner_ + i) % owners_.size()];
-      if ((owner.region == home_region_) != same_region || !owner.reachable ||
+      if ((domain.IsValid() && owner.domain != domain) ||
+          (owner.region == home_region_) != same_region || !owner.reachable ||
           holder_.Free(now, owner.node, key, until).value == 0) {
         continue;
       }
