--- a/bench/region_run.cc
+++ b/bench/region_run.cc
@@ -10,6 +10,7 @@
 #include <random>
 #include <utility>
 
+#include "bench/region_spill.h"
 #include "comfreystand/steer/region.h"
 
 namespace comfreystand::bench {
@@ -22,7 +23,7 @@
 using steer::RegionPlanner;
 using steer::SlotPlacement;
 
-constexpr uint16_t kRegions = 3;
+constexpr uint16_t kRegions = kSpillRegions;
 constexpr uint16_t kLost = 0;
 constexpr Duration kLostAt = seconds(20);
 constexpr Duration kCutAt = seconds(40);
@@ -40,7 +41,6 @@
     kShortSeconds * (1 - kLongShare) + kLongSeconds * kLongShare;
 // Of a lost region's callers, those that go to the nearer other region.
 constexpr double kNearerShare = 0.7;
-constexpr double kSpillAbove = 0.8;
 constexpr Duration kSample = milliseconds(250);
 // Longest wait for a slot at an entry VM.
 constexpr Duration kMaxWait = milliseconds(300);
@@ -136,7 +136,7 @@
     events_.emplace(TimePoint(when), std::move(task));
   }
   void After(Duration delay, std::function<void()> task) {
-    events_.emplace(now_ + delay, std::move(task));
+    At(now_.time_since_epoch() + delay, std::move(task));
   }
   double Uniform() { return random_() * 0x1.0p-32; }
 
@@ -251,8 +251,7 @@
   }
 
   void Report() {
-    const bool stopped = scenario_.reports_stop && lost_;
-    if (!stopped) {
+    if (!scenario_.reports_stop || !lost_) {
       view_ = busy_;
     }
     After(kReportPeriod, [this] { Report(); });
@@ -277,29 +276,21 @@
     const double gap = std::exponential_distribution<>(rate)(random_);
     After(Duration(static_cast<int64_t>(gap * 1e6)),
           [this, home, service] { Arrive(home, service); });
+    const uint16_t entry = EntryRegion(home);
     std::vector<Node*> candidates;
     std::vector<double> weights;
     for (Node& node : nodes_) {
-      if (node.region == EntryRegionOnce(home) && node.alive) {
+      if (node.region == entry && node.alive) {
         candidates.push_back(&node);
         weights.push_back(steer::OwnedSlots(rules_, ServiceId(service),
                                             *steer::PlaceOf(rules_, node.id))
                               .value);
       }
     }
-    entry_ = -1;
     std::discrete_distribution<size_t> pick(weights.begin(), weights.end());
     Serve(candidates[pick(random_)], service);
   }
 
-  // Draws the region once per arrival.
-  uint16_t EntryRegionOnce(uint16_t home) {
-    if (entry_ < 0) {
-      entry_ = EntryRegion(home);
-    }
-    return static_cast<uint16_t>(entry_);
-  }
-
   void Serve(Node* node, uint16_t service) {
     const bool is_long = Uniform() < kLongShare;
     const double mean = is_long ? kLongSeconds : kShortSeconds;
@@ -307,7 +298,7 @@
     const Duration length =
         std::min(kDeadline, Duration(static_cast<int64_t>(drawn * 1e6)));
     if (scenario_.policy == SpillPolicy::kProportional) {
-      Begin(node, service, Proportional(node->region, service), length,
+      Begin(node, service, SpillTo(node->region, service), length,
             std::nullopt);
       return;
     }
@@ -348,23 +339,13 @@
     }
   }
 
-  uint16_t Proportional(uint16_t home, uint16_t service) {
-    const auto& slots = slots_[service];
-    const auto& view = view_[service];
-    if (view[home] < kSpillAbove * slots[home]) {
-      return home;
-    }
-    std::array<double, kRegions> free{};
+  uint16_t SpillTo(uint16_t home, uint16_t service) {
+    std::array<bool, kRegions> connected{};
     for (uint16_t region = 0; region < kRegions; ++region) {
-      free[region] = Connected(home, region)
-                         ? std::max(0, slots[region] - view[region])
-                         : 0;
-    }
-    if (free[0] + free[1] + free[2] <= 0) {
-      return home;
+      connected[region] = Connected(home, region);
     }
-    return static_cast<uint16_t>(
-        std::discrete_distribution<>(free.begin(), free.end())(random_));
+    return SpillByView(home, slots_[service], view_[service], connected,
+                       Uniform());
   }
 
   void Begin(Node* node,
@@ -406,7 +387,6 @@
   bool lost_ = false;
   bool cut_ = false;
   uint64_t lost_epoch_ = 0;
-  int entry_ = -1;
   RegionOutcome outcome_;
 };
 
