Administration API, status page and metrics endpoint

Cause: operators need to propose, read, drain and watch without touching the store, and readers need the status page.

Routes are a table of member pointers apart from HTTP; the server is libevhtp with optional TLS, metrics are evhttp. All of /v1 and every unknown path answers 401 without a token and counts it once; only GET / is open. A drain edits the text of this node's document and conflicts unless that is the expected version. Each connection ends with its answer.

Ruled out: resuming a paused request and leaving the close to libevhtp; it did not close such connections in the tests (nor all answered at once), so the server closes them itself once the answer is written. A header hook that fails for large headers; the answer 431 never left, so they are read to the end.

Known: libevhtp prints "ODDITY, resuming when not paused" to standard error when bytes follow a request; a single header beyond its parser's own limit closes the connection without an answer.

--- a/include/comfreystand/limits.h
+++ b/include/comfreystand/limits.h
@@ -110,6 +110,17 @@
 constexpr double kCapRaiseBelow = 0.8;
 constexpr double kCapRaiseStep = 0.01;
 
+// Administration.
+// A rule file with every byte escaped still fits.
+constexpr size_t kMaxAdminBodyBytes = 1'500'000;
+// Bodies above it end the connection instead of being read to their end.
+constexpr size_t kMaxAdminSkippedBytes = 16'000'000;
+constexpr size_t kMaxAdminHeaderBytes = 16'384;
+constexpr size_t kMaxAdminConnections = 256;
+constexpr std::chrono::seconds kAdminConnectionTimeout = 30s;
+constexpr size_t kMaxReasonBytes = 256;
+constexpr size_t kMaxHistoryEntries = 100;
+
 }  // namespace comfreystand::limits
 
 #endif  // COMFREYSTAND_LIMITS_H_
--- a/include/comfreystand/settings.h
+++ b/include/comfreystand/settings.h
@@ -10,6 +10,7 @@
 #include "comfreystand/base.h"
 #include "comfreystand/limits.h"
 #include "comfreystand/log.h"
+#include "comfreystand/token.h"
 
 // Settings of one node process, read from an INI file.
 namespace comfreystand {
@@ -23,14 +24,6 @@
 
 enum class LogFormat : uint8_t { kText, kJson };
 
-// A bearer token of the administration API, known by its SHA-256 only.
-struct AdminToken {
-  // Who holds the token, for the audit trail.
-  std::string name;
-  // 64 lower-case hexadecimal digits.
-  std::string sha256;
-};
-
 // Each field is described in the settings table, from which docs/SETTINGS.md
 // is generated.
 struct NodeSettings {
--- /dev/null
+++ b/include/comfreystand/status.h
@@ -0,0 +1,102 @@
+#ifndef COMFREYSTAND_STATUS_H_
+#define COMFREYSTAND_STATUS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "comfreystand/base.h"
+
+// What a node knows about the deployment, for the status page and the
+// administration API.
+namespace comfreystand {
+
+struct RegionStatus {
+  std::string name;
+  // Slots of all backend servers, and those at work.
+  Slots capacity;
+  Slots busy;
+  // Share of the look-ups that the region was answered with lately.
+  Fraction lookup_share;
+  bool draining = false;
+};
+
+enum class NodeState : uint8_t { kLive, kSuspect, kLeaving, kDown };
+
+struct EntryVmStatus {
+  std::string name;
+  std::string region;
+  std::string domain;
+  std::string address;
+  NodeState state = NodeState::kLive;
+  RuleVersion rules;
+  // Time since the last heartbeat.
+  Duration last_heard{0};
+};
+
+// The backend servers of one service in one failure domain.
+struct BackendGroupStatus {
+  std::string service;
+  std::string domain;
+  int total = 0;
+  int live = 0;
+  int leaving = 0;
+  // Taken out for being slow or silent.
+  int ejected = 0;
+  Slots slots;
+  Slots busy;
+};
+
+struct ChangeProgress {
+  RuleVersion from;
+  RuleVersion to;
+  WallSeconds accepted_at;
+  // Share of the ramp that has passed.
+  Fraction progress;
+  Fraction moved;
+  Fraction cap;
+  // Stands at its cap until an operator settles it.
+  bool at_cap = false;
+  bool halted = false;
+};
+
+// One hour of the availability strip. Has a value or a reason for none.
+struct HourStatus {
+  WallSeconds start;
+  std::optional<Fraction> availability;
+  std::string reason;
+};
+
+struct StatusSnapshot {
+  WallSeconds now;
+  std::string cluster;
+  std::string node;
+  std::string region;
+  std::string domain;
+  bool ready = false;
+  // Why the node is not ready; empty when it is.
+  std::string not_ready_reason;
+  RuleVersion rules;
+  // Time since the version in force was last confirmed.
+  Duration rules_age{0};
+  // Values under the rule key that did not parse; the last good one stays.
+  uint64_t damaged_documents = 0;
+  bool store_reachable = false;
+  std::vector<RegionStatus> regions;
+  std::vector<EntryVmStatus> entry_vms;
+  std::vector<BackendGroupStatus> backends;
+  std::vector<ChangeProgress> changes;
+  // Oldest first.
+  std::vector<HourStatus> hours;
+};
+
+// "live", "suspect", "leaving" or "down".
+std::string_view ToString(NodeState state);
+
+// The status page: one HTML document that loads nothing else.
+std::string RenderStatusPage(const StatusSnapshot& snapshot);
+
+}  // namespace comfreystand
+
+#endif  // COMFREYSTAND_STATUS_H_
