--- a/bench/edge_bench.cc
+++ b/bench/edge_bench.cc
@@ -347,16 +347,28 @@
   MeasureRequests(&relayed, kRelayed, kWarmUp, &warm);
   std::vector<double> direct_millis;
   std::vector<double> relayed_millis;
+  constexpr double kP99 = 0.99;
+  std::vector<double> added;
+  std::vector<double> direct_p99;
   for (int done = 0; done < kRelayRequests; done += kRelayBatch) {
-    MeasureRequests(&direct, kDirect, kRelayBatch, &direct_millis);
-    MeasureRequests(&relayed, kRelayed, kRelayBatch, &relayed_millis);
+    std::vector<double> direct_batch;
+    std::vector<double> relayed_batch;
+    MeasureRequests(&direct, kDirect, kRelayBatch, &direct_batch);
+    MeasureRequests(&relayed, kRelayed, kRelayBatch, &relayed_batch);
+    direct_p99.push_back(Quantile(direct_batch, kP99));
+    added.push_back(Quantile(relayed_batch, kP99) - direct_p99.back());
+    direct_millis.insert(direct_millis.end(), direct_batch.begin(),
+                         direct_batch.end());
+    relayed_millis.insert(relayed_millis.end(), relayed_batch.begin(),
+                          relayed_batch.end());
   }
-  constexpr double kP99 = 0.99;
+  // The median of many batches leaves out those in which other processes kept
+  // the threads from running.
   Result result;
   result.name = "relay_added_p99_ms";
   result.unit = "ms";
-  result.baseline = Quantile(direct_millis, kP99);
-  result.value = Quantile(relayed_millis, kP99) - result.baseline;
+  result.baseline = Median(direct_p99);
+  result.value = Median(added);
   result.target = kAddedTarget;
   result.how = How::kProcess;
   report->results.push_back(result);
--- a/include/comfreystand/edge.h
+++ b/include/comfreystand/edge.h
@@ -116,7 +116,8 @@
   // How long a backend server may take to confirm a cancellation.
   Duration cancel_timeout = limits::kCancelTimeout;
   Duration max_deadline = limits::kMaxDeadline;
-  // Time between two load reports asked of a backend server; zero asks none.
+  // Time between two load reports asked of a backend server that connections
+  // are open to; zero asks none.
   Duration load_poll_interval = limits::kLoadPollInterval;
 };
 
--- a/src/edge/backend_pool.cc
+++ b/src/edge/backend_pool.cc
@@ -49,6 +49,11 @@
   }
 }
 
+bool BackendPool::InUse(BackendId backend) const {
+  const auto found = backends_.find(backend);
+  return found != backends_.end() && found->second.open > 0;
+}
+
 HttpConnection* BackendPool::Acquire(BackendId id) {
   const auto found = backends_.find(id);
   if (found == backends_.end()) {
--- a/src/edge/backend_pool.h
+++ b/src/edge/backend_pool.h
@@ -23,6 +23,9 @@
   void SetBackends(const std::vector<BackendAddress>& backends);
   const std::vector<BackendId>& backends() const { return ids_; }
 
+  // Whether a connection to the backend server is open or being made.
+  bool InUse(BackendId backend) const;
+
   // Hands out an idle connection, or a new one that is about to connect.
   // Returns null when the backend server is unknown or the bounds are reached.
   HttpConnection* Acquire(BackendId backend);
--- a/src/edge/server_actions.cc
+++ b/src/edge/server_actions.cc
@@ -134,6 +134,10 @@
 
 void Server::Impl::PollLoads() {
   for (const BackendId backend : pool_.backends()) {
+    // Asking the others would connect every entry VM to every backend server.
+    if (!pool_.InUse(backend)) {
+      continue;
+    }
     SideCall* call = NewSideCall(
         limits::kProbeTimeout,
         [this, backend](SideCall* self, const SideCall::Outcome& outcome) {
--- a/tests/edge_bad_input_test.cc
+++ b/tests/edge_bad_input_test.cc
@@ -104,7 +104,7 @@
 }
 
 TEST_CASE("a chunked body is bounded as it comes") {
-  edge::ServerInit init;
+  edge::ServerInit init = Quiet();
   init.max_request_body_bytes = 100'000;
   EdgeWorld world(1, init);
   const auto caller =
@@ -118,7 +118,7 @@
 }
 
 TEST_CASE("an answer is bounded") {
-  edge::ServerInit init;
+  edge::ServerInit init = Quiet();
   init.max_answer_body_bytes = 100'000;
   EdgeWorld world(1, init);
   SUBCASE("before it begins when its length is known") {
@@ -137,7 +137,7 @@
 }
 
 TEST_CASE("slow senders are cut off") {
-  edge::ServerInit init;
+  edge::ServerInit init = Quiet();
   init.caller_timeout = std::chrono::milliseconds(100);
   EdgeWorld world(1, init);
   SUBCASE("in their head") {
@@ -183,7 +183,7 @@
 }
 
 TEST_CASE("callers beyond the bound are turned away") {
-  edge::ServerInit init;
+  edge::ServerInit init = Quiet();
   init.max_callers = 1;
   EdgeWorld world(1, init);
   const auto first = world.Call(kLookup);
--- a/tests/edge_test.cc
+++ b/tests/edge_test.cc
@@ -281,7 +281,7 @@
 }
 
 TEST_CASE("silent connections") {
-  edge::ServerInit init;
+  edge::ServerInit init = Quiet();
   init.backend_timeout = std::chrono::milliseconds(150);
   init.cancel_timeout = std::chrono::milliseconds(150);
   EdgeWorld world(1, init);
@@ -316,7 +316,7 @@
 }
 
 TEST_CASE("tickets") {
-  edge::ServerInit init;
+  edge::ServerInit init = Quiet();
   init.require_tickets = true;
   EdgeWorld world(1, init);
   const auto issued =
@@ -387,6 +387,16 @@
     CHECK(world.dispatcher.probes[0] == std::pair(BackendId(0), true));
     CHECK(world.dispatcher.probes[1] == std::pair(BackendId(7), false));
   }
+  SUBCASE("are asked for their load only when they are in use") {
+    edge::ServerInit init;
+    init.load_poll_interval = std::chrono::milliseconds(10);
+    EdgeWorld polled(2, init);
+    polled.backend(0).behaviour().load_lie = 2;
+    polled.Fetch(Request("GET", "/a", kClose));
+    CHECK(polled.Until([&] { return polled.dispatcher.loads.size() >= 2; }));
+    CHECK(polled.dispatcher.loads.back().busy == Slots{2});
+    CHECK(polled.backend(1).counts().connections == 0);
+  }
   SUBCASE("may be replaced while they work") {
     const auto caller = world.Call(Request("GET", "/a?work_ms=50"));
     CHECK(world.Until([&] { return world.backend(0).busy() == 1; }));
--- a/tests/support/edge_world.cc
+++ b/tests/support/edge_world.cc
@@ -103,6 +103,12 @@
                                       : edge::TicketVerdict::kAlreadyUsed;
 }
 
+edge::ServerInit Quiet() {
+  edge::ServerInit init;
+  init.load_poll_interval = Duration(0);
+  return init;
+}
+
 EdgeWorld::EdgeWorld(int backends, edge::ServerInit init)
     : base(event_base_new()) {
   std::signal(SIGPIPE, SIG_IGN);
@@ -111,7 +117,6 @@
                   {"report", std::chrono::seconds(60)}};
   init.sites = {{SiteId(0), "west", {"10.0.0.1:80", "10.0.0.2:80"}},
                 {SiteId(1), "south", {"10.1.0.1:80"}}};
-  init.load_poll_interval = Duration(0);
   for (int i = 0; i < backends; ++i) {
     const BackendId id(static_cast<uint32_t>(i));
     backends_.push_back(std::make_unique<standins::Backend>(
