--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -85,6 +85,8 @@
   StartMembership();
   StartRules();
   StartDispatch();
+  hours_ = std::make_unique<HoursFeed>(settings_, loop_, &clock_, &store_,
+                                       transport_.get(), membership_.get());
   peer_server_ = std::make_unique<peer::GrpcServer>(
       loop_, settings_.peer_address.text, tls,
       [this](const wire::Envelope& request) { return HandlePeer(request); });
@@ -92,10 +94,11 @@
     *error = "can't listen on " + settings_.peer_address.text;
     return false;
   }
-  if (!StartEdge(error))
+  if (!StartEdge(error) || !StartAdmin(error) || !StartMetrics(error))
     return false;
   membership_->Start();
   spread_->Start();
+  hours_->Start();
   Tick();
   ScheduleLimits();
   ScheduleRenewal();
@@ -180,6 +183,7 @@
   wire::Envelope reply;
   membership_->Handle(request, &reply);
   capacity_->Handle(request, &reply);
+  hours_->Handle(request, &reply);
   return reply;
 }
 
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "comfreystand/acceptance.h"
+#include "comfreystand/admin.h"
 #include "comfreystand/edge.h"
 #include "comfreystand/event_loop.h"
 #include "comfreystand/grpc_peer.h"
@@ -18,8 +19,11 @@
 #include "comfreystand/steer/change.h"
 #include "comfreystand/steer/dispatch.h"
 #include "comfreystand/steer/lookup.h"
+#include "src/node/admin_backend.h"
 #include "src/node/backend_directory.h"
 #include "src/node/capacity.h"
+#include "src/node/hours_feed.h"
+#include "src/node/metrics.h"
 #include "src/node/names.h"
 #include "src/node/site_directory.h"
 #include "src/node/tickets.h"
@@ -36,12 +40,15 @@
   void BeginStop(std::function<void()> done);
 
  private:
-  // Wiring; node.cc.
+  // Wiring; node.cc and node_admin.cc.
   bool ReadTls(peer::TlsMaterial* tls, std::string* error) const;
   void StartMembership();
   void StartRules();
   void StartDispatch();
   bool StartEdge(std::string* error);
+  bool StartAdmin(std::string* error);
+  bool StartMetrics(std::string* error);
+  std::vector<MetricSource> MetricTable();
   wire::Envelope HandlePeer(const wire::Envelope& request);
 
   // Rules; node_rules.cc.
@@ -85,6 +92,10 @@
   std::unique_ptr<BackendDirectory> backends_;
   std::unique_ptr<SiteDirectory> sites_;
   std::unique_ptr<edge::Server> edge_;
+  std::unique_ptr<HoursFeed> hours_;
+  std::unique_ptr<NodeAdmin> admin_;
+  std::unique_ptr<admin::AdminServer> admin_server_;
+  std::unique_ptr<admin::MetricsServer> metrics_server_;
   bool vm_list_seen_ = false;
 
   member::GracefulStop stop_;
--- a/src/node/node_rules.cc
+++ b/src/node/node_rules.cc
@@ -53,6 +53,7 @@
       !baseline.rules.has_value() || document.baseline_text == document.text;
   if (is_settled) {
     lookup_.SetRules(current);
+    admin_->SetGate(nullptr);
     gate_.reset();
     return;
   }
@@ -65,6 +66,7 @@
   init.accepted = loop_->Now() - since;
   auto gate = std::make_unique<steer::ChangeGate>(init);
   lookup_.SetChange(*baseline.rules, current, gate.get());
+  admin_->SetGate(gate.get());
   gate_ = std::move(gate);
 }
 
--- a/src/node/node_stop.cc
+++ b/src/node/node_stop.cc
@@ -26,7 +26,7 @@
   member::StopProgress progress;
   progress.requests_in_flight = edge_->Idle() ? 0 : 1;
   progress.requests_arriving = loop_->Now() - last_request_seen_ < kQuietTime;
-  progress.hours_flushed = true;
+  progress.hours_flushed = hours_->IsFinished();
   return progress;
 }
 
@@ -50,8 +50,11 @@
                   {"cut", std::to_string(stop_.CutRequests())}});
   if (phase == StopPhase::kFinishing)
     edge_->SetDrainState(edge::DrainState::kDraining);
-  if (phase == StopPhase::kHandingBack)
+  if (phase == StopPhase::kHandingBack) {
     edge_->SetDrainState(edge::DrainState::kRefusing);
+    hours_->Update(edge_->GetStats());
+    hours_->Finish();
+  }
   if (phase == StopPhase::kDone && stopped_)
     stopped_();
 }
--- a/src/node/node_tick.cc
+++ b/src/node/node_tick.cc
@@ -91,6 +91,7 @@
   UpdateBackends();
   UpdateSites();
   membership_->ExpireLeaving(clock_.WallNow());
+  hours_->Update(edge_->GetStats());
   StepStop();
   ScheduleTick();
 }
