--- a/tests/acceptance_test.cc
+++ b/tests/acceptance_test.cc
@@ -255,4 +255,37 @@
   }
 }
 
+TEST_CASE("acceptance with the documents of the rules library") {
+  constexpr std::string_view kFile =
+      "region r # asked by ops: first\n"
+      "domain d in r entry-vms 1 # asked by ops: place\n"
+      "site s in d weight 1 # asked by ops: answers\n";
+  VirtualLoop loop(5);
+  FakeStore store(loop);
+  NodeLoop node(loop);
+  const auto client = store.Client(node);
+  Acceptance acceptance({}, node, *client);
+  std::vector<AcceptResult> results;
+  const auto note = [&](const AcceptResult& r) { results.push_back(r); };
+  acceptance.Propose(Proposer::Origin("c1", 0), std::string(kFile), note);
+  loop.RunFor(1s);
+  const std::string changed = std::string(kFile) + "# a later remark\n";
+  acceptance.Propose(Proposer::Origin("c2", 1), changed, note);
+  loop.RunFor(1s);
+  acceptance.Propose(Proposer::Origin("c3", 2), "regoin r\n", note);
+  loop.RunFor(1s);
+  REQUIRE(results.size() == 3);
+  CHECK(results[0].status == AcceptStatus::kAccepted);
+  CHECK(results[1].status == AcceptStatus::kAccepted);
+  CHECK(results[2].status == AcceptStatus::kInvalid);
+  CHECK_FALSE(results[2].errors.empty());
+  const auto document =
+      DecodeRuleDocument(store.Peek("comfreystand/rules").value);
+  REQUIRE(document);
+  CHECK(document->version == RuleVersion{2});
+  CHECK(document->text == changed);
+  CHECK(document->baseline_text == kFile);
+  CHECK(DecodeRuleDocument(results[1].document)->version == RuleVersion{2});
+}
+
 }  // namespace comfreystand::platform
