--- a/tests/support/history_run.cc
+++ b/tests/support/history_run.cc
@@ -10,8 +10,8 @@
 
 constexpr int kDomains = 3;
 constexpr int kNodesPerDomain = 3;
-constexpr Duration kFaultTime = 90s;
-constexpr Duration kSettleTime = 90s;
+// Time with faults, and time to settle after them.
+constexpr Duration kHalfTime = 90s;
 
 // Drives one fleet through one schedule.
 class Run {
@@ -81,14 +81,12 @@
 
 void FreezeOne(Run& run) {
   const int place = run.Below(run.fleet.Places());
-  TestNode* node = run.fleet.At(place);
-  if (!node) {
-    return;
+  if (TestNode* node = run.fleet.At(place)) {
+    run.Disturb(run.fleet.DomainOf(place));
+    node->loop.Freeze();
+    run.fleet.loop.PostDelayed(1s * (1 + run.Below(25)),
+                               [node] { node->loop.Thaw(); });
   }
-  run.Disturb(run.fleet.DomainOf(place));
-  node->loop.Freeze();
-  run.fleet.loop.PostDelayed(1s * (1 + run.Below(25)),
-                             [node] { node->loop.Thaw(); });
 }
 
 void CutOneWay(Run& run) {
@@ -341,13 +339,13 @@
 }
 
 History Run::Finish() {
-  fleet.loop.RunFor(kFaultTime);
+  fleet.loop.RunFor(kHalfTime);
   quiet_ = true;
   if (planted_ == Planted::kNone) {
     EndFaults();
   }
   const TimePoint settled = fleet.loop.Now() + 30s;
-  fleet.loop.RunFor(kSettleTime);
+  fleet.loop.RunFor(kHalfTime);
   history.end = fleet.loop.Now();
   for (int place = 0; place < fleet.Places(); ++place) {
     LifeRecord& life = history.lives[life_of_place_[place]];
