--- a/include/comfreystand/limits.h
+++ b/include/comfreystand/limits.h
@@ -124,6 +124,34 @@
 constexpr double kCapRaiseBelow = 0.8;
 constexpr double kCapRaiseStep = 0.01;
 
+// Grants.
+constexpr std::chrono::seconds kGrantLifetime = 10s;
+constexpr std::chrono::seconds kGrantRenewal = 2s;
+constexpr std::chrono::milliseconds kGrantMargin = 50ms;
+constexpr double kClockDrift = 0.01;
+constexpr double kMaxLentShare = 0.5;
+
+// Regions.
+// Most other nodes of the own region, and of other regions, that a node borrows
+// from.
+constexpr size_t kMaxOwners = 8;
+// Unused link budget that may be saved up.
+constexpr std::chrono::milliseconds kLinkBurst = 20ms;
+// Slots asked for beyond the demand seen, as a share of it.
+constexpr double kDemandHeadroom = 0.15;
+// Part of the way that the estimate falls towards a lower demand per renewal.
+constexpr double kDemandDecay = 0.3;
+// Administration.
+// A rule file with every byte escaped still fits.
+constexpr size_t kMaxAdminBodyBytes = 1'500'000;
+// Bodies above it end the connection instead of being read to their end.
+constexpr size_t kMaxAdminSkippedBytes = 16'000'000;
+constexpr size_t kMaxAdminHeaderBytes = 16'384;
+constexpr size_t kMaxAdminConnections = 256;
+constexpr std::chrono::seconds kAdminConnectionTimeout = 30s;
+constexpr size_t kMaxReasonBytes = 256;
+constexpr size_t kMaxHistoryEntries = 100;
+
 }  // namespace comfreystand::limits
 
 #endif  // COMFREYSTAND_LIMITS_H_
--- a/src/cli/verbs.h
+++ b/src/cli/verbs.h
@@ -9,6 +9,11 @@
 // declared here and listed in verbs.cc.
 namespace comfreystand::cli {
 
+extern const Verb kBenchVerb;
+extern const Verb kLoadVerb;
+extern const Verb kLookupVerb;
+extern const Verb kNodeVerb;
+extern const Verb kRulesBootstrapVerb;
 extern const Verb kRulesCheckVerb;
 extern const Verb kRulesDiffVerb;
 extern const Verb kSettingsCheckVerb;
--- a/tests/acceptance_test.cc
+++ b/tests/acceptance_test.cc
@@ -13,6 +13,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+
 using testing::FakeStore;
 using testing::NodeLoop;
 using testing::StoreFaults;
