--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -15,6 +15,7 @@
   rm -rf "$work"
 }
 trap cleanup EXIT
+# KEEP_LOGS=FOLDER keeps the output of every process.
 [ -n "${KEEP_LOGS:-}" ] && trap "cp -r \"\$work\" \"\$KEEP_LOGS\"; cleanup" EXIT
 
 # Starts a program in the background; its output goes to $work/NAME.log.
@@ -47,10 +48,12 @@
 add_vm() { vms="$vms${vms:+,}{\"name\":\"$1\",\"address\":\"$2\",\"domain\":\"$3\",\"service\":\"$4\",\"role\":\"$5\",\"state\":\"live\"}"; }
 
 backends=0
+desk_backends=
 start_backends() { # service domain count
   for _ in $(seq "$3"); do
     backends=$((backends + 1))
     start "backend-$backends" "$standin" backend
+    [ "$1" = bay-desk ] && desk_backends="$desk_backends${desk_backends:+,}$(first_line "backend-$backends")"
     add_vm "$1-$backends" "$(first_line "backend-$backends")" "$2" "$1" backend
   done
 }
@@ -99,9 +102,113 @@
   start "node-$i" "$bin" node "$work/node-$i.ini"
   node_pids+=("$last_pid")
 done
-sleep 4
-for i in 0 3 6; do
-  curl -sS "http://127.0.0.$((11 + i)):${ports[0]}/v1/lookup?client=10.1.2.3"
-  echo
-  curl -s -i "http://127.0.0.$((11 + i)):${ports[0]}/v1/s/bay-desk/floats?work_ms=2" | head -12
+
+export COMFREYSTAND_TOKEN=$token
+edge_of() { echo "127.0.0.$((11 + $1)):${ports[0]}"; }
+admin_of() { echo "127.0.0.$((11 + $1)):${ports[2]}"; }
+field() { tr ',{}' '\n\n\n' < "$1" | sed -n "s/^\"$2\": *\"\{0,1\}\([^\"]*\)\"\{0,1\}$/\1/p" | head -1; }
+now_ms() { date +%s%3N; }
+all_entry_vms=$(for i in "${!domains[@]}"; do edge_of "$i"; done | paste -sd, -)
+kept_entry_vms=$(for i in 0 1 2 5 6; do edge_of "$i"; done | paste -sd, -)
+
+# Waits until every node listed shows a rule version of at least $1.
+await_version() {
+  local version=$1 i
+  shift
+  for i in "$@"; do
+    for _ in $(seq 180); do
+      [ "$(curl -sf "http://127.0.0.$((11 + i)):${ports[3]}/metrics" |
+        sed -n 's/^comfreystand_rules_version \([0-9]*\).*/\1/p')" -ge "$version" ] 2> /dev/null && continue 2
+      sleep 0.05
+    done
+    echo "entry-$i did not reach version $version" >&2
+    return 1
+  done
+}
+# Waits until an entry VM answers look-ups with at least three sites.
+await_view() {
+  local i
+  for i in "${!domains[@]}"; do
+    for _ in $(seq 200); do
+      [ "$("$bin" lookup --entry-vm "$(edge_of "$i")" --client 10.1.2.3 2> /dev/null |
+        grep -o '"site"' | wc -l)" -ge 3 ] && continue 2
+      sleep 0.05
+    done
+    echo "entry-$i lists too few sites" >&2
+    return 1
+  done
+}
+load() { # file seconds entry-vms
+  "$bin" load --entry-vm "$3" --service bay-desk --rate 300 --seconds "$2" --lookups 0.3 \
+    --idempotent 0.7 --tickets yes --class short:90:2,report:2:150,book:8:4 \
+    --deadline-ms 3000 --backends "$desk_backends" --json > "$work/$1.json" 2> "$work/$1.err" || true
+}
+
+started=$(now_ms)
+await_version 1 0 1 2 3 4 5 6
+await_view
+joined=$(($(now_ms) - started))
+
+load quiet 4 "$all_entry_vms"
+
+# A rule change under load: southern-a is drained.
+load change 6 "$all_entry_vms" &
+load_pid=$!
+sleep 1
+{ cat examples/float-keepers.rules; echo 'drain site southern-a # asked by coast yard: power work'; } > "$work/new.rules"
+proposed=$(now_ms)
+"$bin" rules propose "$work/new.rules" --admin "$(admin_of 0)" --by "coast yard" --expected 1 > "$work/propose.out"
+await_version 2 0 1 2 3 4 5 6
+in_force=$(($(now_ms) - proposed))
+wait "$load_pid"
+
+# One entry VM stops gracefully while callers use it; another is killed while
+# callers use the rest.
+load stop 8 "$all_entry_vms" &
+load_pid=$!
+sleep 1
+stopping=$(now_ms)
+kill -TERM "${node_pids[3]}"
+(while kill -0 "${node_pids[3]}" 2> /dev/null; do sleep 0.05; done; now_ms > "$work/stopped") &
+watch_pid=$!
+wait "$load_pid"
+load kill 4 "$kept_entry_vms" &
+load_pid=$!
+sleep 1
+kill -KILL "${node_pids[4]}"
+wait "$load_pid"
+wait "$watch_pid"
+graceful=$(($(cat "$work/stopped") - stopping))
+"$bin" status --admin "$(admin_of 0)" > "$work/status.out"
+"$bin" rules history --admin "$(admin_of 0)" > "$work/history.out"
+
+row() { # title file
+  printf '%-34s %6s %8s %8s %9s %9s %9s %9s\n' "$1" "$(field "$work/$2.json" sent)" \
+    "$(field "$work/$2.json" answered)" "$(field "$work/$2.json" unanswered)" \
+    "$(field "$work/$2.json" truncated)" "$(field "$work/$2.json" duplicate_runs)" \
+    "$(field "$work/$2.json" false_not_run)" "$(field "$work/$2.json" mixed_answers)"
+}
+printf '\n%-34s %6s %8s %8s %9s %9s %9s %9s\n' load sent answered no-answer truncated dup-runs false-nr mixed
+row "7 entry VMs" quiet
+row "rule change under load" change
+row "graceful stop of entry-3" stop
+row "kill of entry-4, others used" kill
+printf '\n'
+printf '%-34s %s ms\n' "all entry VMs joined after" "$joined"
+printf '%-34s %s\n' "rule change" "$(cat "$work/propose.out")"
+printf '%-34s %s ms\n' "in force on all 7 after" "$in_force"
+printf '%-34s %s ms\n' "graceful stop took" "$graceful"
+for run in quiet change stop; do
+  printf '%-34s ' "latency, $run"
+  sed -n 's/.*"short":{\([^}]*\)}.*/short \1/p' "$work/$run.json" | tr -d '"'
+done
+bad=0
+for run in quiet change stop kill; do
+  for check in duplicate_runs false_not_run mixed_answers truncated; do
+    [ "$(field "$work/$run.json" "$check")" = 0 ] || bad=1
+  done
+  [ -n "$(field "$work/$run.json" answered)" ] || bad=1
 done
+[ "$(field "$work/stop.json" unanswered)" = 0 ] || bad=1
+[ "$bad" = 0 ] && echo "run: ok" || echo "run: a promise was broken"
+exit "$bad"
