--- a/include/comfreystand/limits.h
+++ b/include/comfreystand/limits.h
@@ -46,6 +46,20 @@
 constexpr size_t kMaxRequestHeaderBytes = 16'384;
 constexpr size_t kMaxRequestBodyBytes = size_t{8} << 20;
 constexpr size_t kMaxAnswerBodyBytes = size_t{64} << 20;
+constexpr size_t kMaxReplayBodyBytes = size_t{256} << 10;
+// Bytes that wait for a slow receiver before the sender is held back.
+constexpr size_t kRelayBufferBytes = size_t{256} << 10;
+constexpr int kMaxBackendConnections = 2'000;
+constexpr int kMaxConnectionsPerBackend = 48;
+constexpr int kMaxCallerConnections = 10'000;
+constexpr std::chrono::milliseconds kCallerProgressTimeout = 30'000ms;
+constexpr std::chrono::milliseconds kBackendConnectTimeout = 1'000ms;
+constexpr std::chrono::milliseconds kBackendProgressTimeout = 10'000ms;
+constexpr std::chrono::milliseconds kCancelTimeout = 1'000ms;
+constexpr std::chrono::milliseconds kProbeTimeout = 1'000ms;
+constexpr std::chrono::milliseconds kDefaultDeadline = 10'000ms;
+constexpr std::chrono::milliseconds kMaxDeadline = 600'000ms;
+constexpr std::chrono::milliseconds kLoadPollInterval = 1'000ms;
 
 // Platform.
 constexpr size_t kMaxStoreValueBytes = size_t{1} << 20;
@@ -54,11 +68,11 @@
 
 // Acceptance.
 constexpr size_t kMaxChangeIdBytes = 128;
-constexpr size_t kMaxAuditSegmentBytes = 512 * 1024;
+constexpr size_t kMaxAuditSegmentBytes = size_t{512} << 10;
 constexpr size_t kAuditEntriesPerSegment = 16;
 // Unconfirmed entries that the document gathers before they are dropped.
 constexpr size_t kAuditDropEntries = 8;
-constexpr size_t kAuditDropBytes = 64 * 1024;
+constexpr size_t kAuditDropBytes = size_t{64} << 10;
 constexpr std::chrono::hours kAuditRetention = 24h * 800;
 
 // Member.
@@ -121,6 +135,24 @@
 constexpr size_t kMaxReasonBytes = 256;
 constexpr size_t kMaxHistoryEntries = 100;
 
+// Grants.
+constexpr std::chrono::seconds kGrantLifetime = 10s;
+constexpr std::chrono::seconds kGrantRenewal = 2s;
+constexpr std::chrono::milliseconds kGrantMargin = 50ms;
+constexpr double kClockDrift = 0.01;
+constexpr double kMaxLentShare = 0.5;
+
+// Regions.
+// Most other nodes of the own region, and of other regions, that a node borrows
+// from.
+constexpr size_t kMaxOwners = 8;
+// Unused link budget that may be saved up.
+constexpr std::chrono::milliseconds kLinkBurst = 20ms;
+// Slots asked for beyond the demand seen, as a share of it.
+constexpr double kDemandHeadroom = 0.15;
+// Part of the way that the estimate falls towards a lower demand per renewal.
+constexpr double kDemandDecay = 0.3;
+
 }  // namespace comfreystand::limits
 
 #endif  // COMFREYSTAND_LIMITS_H_
--- a/src/steer/admission_learn.cc
+++ b/src/steer/admission_learn.cc
@@ -14,6 +14,8 @@
 constexpr uint8_t kMaxVotes = 4;
 // Expected latency of work that nothing is known of.
 constexpr Duration kUnknownLatency{20'000};
+// Least expected latency; timers are set by multiples of it.
+constexpr Duration kLeastExpected{500};
 
 uint64_t TagOf(const WorkKey& key) {
   const uint64_t kind =
@@ -31,19 +33,27 @@
     : long_factor_(long_factor), entries_(limits::kLearnedDurations) {}
 
 Duration DurationLearner::Expected(const WorkKey& key) const {
+  return std::max(kLeastExpected, LearnedMean(key));
+}
+
+Duration DurationLearner::LearnedMean(const WorkKey& key) const {
   const Entry* entry = Find(key);
   if (entry != nullptr && entry->count >= kMinObservations) {
     return Duration(static_cast<int64_t>(entry->mean_us));
   }
-  if (key.service.value < class_.size()) {
+  if (KnowsClass(key)) {
     const Mean& mean = class_[key.service.value][key.request_class.value];
-    if (mean.count >= kMinObservations) {
-      return Duration(static_cast<int64_t>(mean.us));
-    }
+    return Duration(static_cast<int64_t>(mean.us));
   }
   return TypicalShort(key.service);
 }
 
+bool DurationLearner::KnowsClass(const WorkKey& key) const {
+  return key.service.value < class_.size() &&
+         class_[key.service.value][key.request_class.value].count >=
+             kMinObservations;
+}
+
 Duration DurationLearner::TypicalShort(ServiceId service) const {
   if (service.value >= short_.size() ||
       short_[service.value].count < kMinObservations) {
--- a/src/steer/admission_learn.h
+++ b/src/steer/admission_learn.h
@@ -32,6 +32,9 @@
   // that of its class.
   Duration Expected(const WorkKey& key) const;
 
+  // True when Expected() rests on work of the same class.
+  bool KnowsClass(const WorkKey& key) const;
+
   // Latency of typical short work of a service.
   Duration TypicalShort(ServiceId service) const;
 
@@ -62,6 +65,7 @@
     uint32_t count = 0;
   };
 
+  Duration LearnedMean(const WorkKey& key) const;
   Entry& Slot(const WorkKey& key);
   const Entry* Find(const WorkKey& key) const;
   void Vote(Entry* entry, BackendId backend);
