Verbs that call the administration API

Cause: operators propose, read, drain and watch from the command line.

Plain HTTP only so far: the HTTP client has no TLS.

The verbs were not run against a node.

--- a/src/cli/verbs.cc
+++ b/src/cli/verbs.cc
@@ -5,9 +5,11 @@
 namespace comfreystand::cli {
 namespace {
 
-constexpr std::array kVerbs = {&kNodeVerb,          &kRulesBootstrapVerb,
-                               &kRulesCheckVerb,    &kRulesDiffVerb,
-                               &kSettingsCheckVerb, &kSettingsDescribeVerb};
+constexpr std::array kVerbs = {
+    &kNodeVerb,         &kRulesBootstrapVerb, &kRulesCheckVerb,
+    &kRulesDiffVerb,    &kRulesProposeVerb,   &kRulesShowVerb,
+    &kRulesHistoryVerb, &kRulesAuditVerb,     &kDrainVerb,
+    &kStatusVerb,       &kSettingsCheckVerb,  &kSettingsDescribeVerb};
 
 }  // namespace
 
--- a/src/cli/verbs.h
+++ b/src/cli/verbs.h
@@ -13,6 +13,12 @@
 extern const Verb kRulesBootstrapVerb;
 extern const Verb kRulesCheckVerb;
 extern const Verb kRulesDiffVerb;
+extern const Verb kRulesProposeVerb;
+extern const Verb kRulesShowVerb;
+extern const Verb kRulesHistoryVerb;
+extern const Verb kRulesAuditVerb;
+extern const Verb kDrainVerb;
+extern const Verb kStatusVerb;
 extern const Verb kSettingsCheckVerb;
 extern const Verb kSettingsDescribeVerb;
 
--- a/tests/cli_test.cc
+++ b/tests/cli_test.cc
@@ -174,6 +174,35 @@
   }
 }
 
+TEST_CASE("a verb that calls the administration API") {
+  // Nothing listens on the discard port.
+  const std::string nowhere = "--admin=127.0.0.1:9";
+  SUBCASE("says when the node can't be reached") {
+    for (const std::vector<std::string>& arguments :
+         {std::vector<std::string>{"rules", "show", nowhere},
+          {"rules", "history", nowhere},
+          {"rules", "audit", nowhere},
+          {"status", nowhere},
+          {"drain", "site", "west", "--by=ops", "--reason=disk", nowhere},
+          {"rules", "propose", "--by=ops", "examples/float-keepers.rules",
+           nowhere}}) {
+      const Outcome outcome = Run(arguments);
+      CHECK(outcome.code == ExitCode::kUnavailable);
+      CHECK(Contains(outcome.err, "no answer from 127.0.0.1:9"));
+    }
+  }
+  SUBCASE("needs to know who asked for a change") {
+    CHECK(Run({"rules", "propose", "examples/float-keepers.rules", nowhere})
+              .code == ExitCode::kUsage);
+    CHECK(Run({"drain", "site", "west", "--by=ops", nowhere}).code ==
+          ExitCode::kUsage);
+  }
+  SUBCASE("needs a unit for its timeout") {
+    CHECK(Run({"rules", "show", "--timeout=5", nowhere}).code ==
+          ExitCode::kUsage);
+  }
+}
+
 TEST_CASE("comparing rule files") {
   const TemporaryFile before("a\nb\n");
   const TemporaryFile after("a\nc\n");
