--- a/src/cli/verbs.cc
+++ b/src/cli/verbs.cc
@@ -6,9 +6,11 @@
 namespace {
 
 constexpr std::array kVerbs = {
-    &kNodeVerb,      &kRulesBootstrapVerb, &kRulesCheckVerb,
-    &kRulesDiffVerb, &kSettingsCheckVerb,  &kSettingsDescribeVerb,
-    &kLookupVerb,    &kLoadVerb,           &kBenchVerb};
+    &kNodeVerb,         &kRulesBootstrapVerb, &kRulesCheckVerb,
+    &kRulesDiffVerb,    &kRulesProposeVerb,   &kRulesShowVerb,
+    &kRulesHistoryVerb, &kRulesAuditVerb,     &kDrainVerb,
+    &kStatusVerb,       &kSettingsCheckVerb,  &kSettingsDescribeVerb,
+    &kLookupVerb,       &kLoadVerb,           &kBenchVerb};
 
 }  // namespace
 
