--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -106,7 +106,10 @@
 export COMFREYSTAND_TOKEN=$token
 edge_of() { echo "127.0.0.$((11 + $1)):${ports[0]}"; }
 admin_of() { echo "127.0.0.$((11 + $1)):${ports[2]}"; }
-field() { tr ',{}' '\n\n\n' < "$1" | sed -n "s/^\"$2\": *\"\{0,1\}\([^\"]*\)\"\{0,1\}$/\1/p" | head -1; }
+# Value of the first member named $2 in a JSON file with one member a line.
+field() { sed -n "s/^ *\"$2\": *\"\{0,1\}\([^\",]*\)\"\{0,1\},\{0,1\}$/\1/p" "$1" | head -1; }
+# The member named $2 of a class's latencies.
+latency() { sed -n "/\"short\": {/,/}/s/^ *\"$2\": *\([0-9.]*\),\{0,1\}$/\1/p" "$1"; }
 now_ms() { date +%s%3N; }
 all_entry_vms=$(for i in "${!domains[@]}"; do edge_of "$i"; done | paste -sd, -)
 kept_entry_vms=$(for i in 0 1 2 5 6; do edge_of "$i"; done | paste -sd, -)
@@ -138,10 +141,11 @@
     return 1
   done
 }
-load() { # file seconds entry-vms
+# Each load has a seed of its own, so that its operations have their own names.
+load() { # file seconds entry-vms seed
   "$bin" load --entry-vm "$3" --service bay-desk --rate 300 --seconds "$2" --lookups 0.3 \
     --idempotent 0.7 --tickets yes --class short:90:2,report:2:150,book:8:4 \
-    --deadline-ms 3000 --backends "$desk_backends" --json > "$work/$1.json" 2> "$work/$1.err" || true
+    --deadline-ms 3000 --seed "$4" --backends "$desk_backends" --json > "$work/$1.json" 2> "$work/$1.err" || true
 }
 
 started=$(now_ms)
@@ -149,10 +153,10 @@
 await_view
 joined=$(($(now_ms) - started))
 
-load quiet 4 "$all_entry_vms"
+load quiet 4 "$all_entry_vms" 1
 
 # A rule change under load: southern-a is drained.
-load change 6 "$all_entry_vms" &
+load change 6 "$all_entry_vms" 2 &
 load_pid=$!
 sleep 1
 { cat examples/float-keepers.rules; echo 'drain site southern-a # asked by coast yard: power work'; } > "$work/new.rules"
@@ -164,7 +168,7 @@
 
 # One entry VM stops gracefully while callers use it; another is killed while
 # callers use the rest.
-load stop 8 "$all_entry_vms" &
+load stop 8 "$all_entry_vms" 3 &
 load_pid=$!
 sleep 1
 stopping=$(now_ms)
@@ -172,7 +176,7 @@
 (while kill -0 "${node_pids[3]}" 2> /dev/null; do sleep 0.05; done; now_ms > "$work/stopped") &
 watch_pid=$!
 wait "$load_pid"
-load kill 4 "$kept_entry_vms" &
+load kill 4 "$kept_entry_vms" 4 &
 load_pid=$!
 sleep 1
 kill -KILL "${node_pids[4]}"
@@ -199,8 +203,9 @@
 printf '%-34s %s ms\n' "in force on all 7 after" "$in_force"
 printf '%-34s %s ms\n' "graceful stop took" "$graceful"
 for run in quiet change stop; do
-  printf '%-34s ' "latency, $run"
-  sed -n 's/.*"short":{\([^}]*\)}.*/short \1/p' "$work/$run.json" | tr -d '"'
+  printf '%-34s p50 %s ms, p99 %s ms, max %s ms\n' "short requests, $run" \
+    "$(latency "$work/$run.json" p50_ms)" "$(latency "$work/$run.json" p99_ms)" \
+    "$(latency "$work/$run.json" max_ms)"
 done
 bad=0
 for run in quiet change stop kill; do
--- a/src/cli/load_verb.cc
+++ b/src/cli/load_verb.cc
@@ -32,7 +32,8 @@
   size_t begin = 0;
   while (begin <= text.size()) {
     const size_t end = std::min(text.find(',', begin), text.size());
-    if (!spec.set(std::string_view(text).substr(begin, end - begin), options))
+    const std::string part = text.substr(begin, end - begin);
+    if (!spec.set(part, options))
       return false;
     begin = end + 1;
   }
--- a/src/node/admin_backend.cc
+++ b/src/node/admin_backend.cc
@@ -99,10 +99,9 @@
   snapshot.rules = spread.version;
   snapshot.rules_age = spread.age;
   snapshot.damaged_documents = parts_.spread->GetStats().bad_documents;
-  for (const member::MemberInfo& member : parts_.membership->DomainMembers()) {
-    if (member.node.value == static_cast<uint32_t>(settings.node_id))
-      snapshot.store_reachable = member.store_contact;
-  }
+  // Few members of a failure domain ask the store; the others rely on them.
+  for (const member::MemberInfo& member : parts_.membership->DomainMembers())
+    snapshot.store_reachable |= member.store_contact;
   AddEntryVms(&snapshot);
   AddBackends(&snapshot);
   AddRegions(&snapshot);
