--- a/include/comfreystand/event_loop.h
+++ b/include/comfreystand/event_loop.h
@@ -10,6 +10,10 @@
 
 namespace comfreystand {
 
+// A libevent base whose timers follow the precise monotonic clock; the default
+// one is only as fine as the kernel's tick. The caller frees it.
+event_base* NewPreciseEventBase();
+
 // The loop of a process: libevent timers on the system's steady clock. Only
 // RunInLoop() and Stop() may be called from other threads.
 class EventLoop final : public Loop {
--- a/src/load/load.cc
+++ b/src/load/load.cc
@@ -1,4 +1,5 @@
 #include "comfreystand/load.h"
+#include "comfreystand/event_loop.h"
 
 #include <algorithm>
 #include <cmath>
@@ -36,7 +37,7 @@
             const std::function<void(const Progress&)>& progress)
       : options_(options),
         progress_(progress),
-        base_(event_base_new()),
+        base_(NewPreciseEventBase()),
         pool_(base_.get(), options.max_connections, options.grace),
         random_(options.seed),
         tick_(event_new(
--- a/src/loop/event_loop.cc
+++ b/src/loop/event_loop.cc
@@ -38,11 +38,19 @@
 
 }  // namespace
 
+event_base* NewPreciseEventBase() {
+  event_config* config = event_config_new();
+  event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  event_base* base = event_base_new_with_config(config);
+  event_config_free(config);
+  return base;
+}
+
 class EventLoop::Impl {
  public:
   Impl() {
     evthread_use_pthreads();
-    base_ = event_base_new();
+    base_ = NewPreciseEventBase();
     wakeup_ = event_new(base_, -1, EV_PERSIST, &Impl::OnWakeup, this);
   }
 
--- a/standins/main/standin.cc
+++ b/standins/main/standin.cc
@@ -74,7 +74,7 @@
     std::fprintf(stderr, "backend: %s\n", poptStrerror(parsed));
     return 2;
   }
-  const BasePtr base(event_base_new());
+  const BasePtr base(comfreystand::NewPreciseEventBase());
   comfreystand::standins::Backend backend(base.get(), {});
   if (behaviour && !backend.Control(behaviour)) {
     std::fprintf(stderr, "backend: bad behaviour\n");
