A lone entry VM hands its hours to the store before it stops

Cause: a graceful stop took 19.7 s, 10 of which were the bound on handing back. Finish() ended only when another member of the failure domain took the report; in a failure domain with one entry VM, as five of the float keepers' six are, nobody could, so the stop ran into its bound. Ruled out: requests in flight (none after the quiet time) and the rank of a leaving node, which is 0 when it is alone, so that it does write. Change: Finish() also ends once the store has this life's last report. Measured: the new case of hours_test failed before (finished false) and passes now; hours_test 2 passed.

--- a/src/hours/ledger.cc
+++ b/src/hours/ledger.cc
@@ -57,6 +57,7 @@
                      const platform::StoreEntry& entry);
   void NoteStored(const Segment& written);
   void DropStored();
+  void CheckFinished();
 
   LedgerInit init_;
   Loop& loop_;
@@ -74,6 +75,9 @@
   Incarnation current_life_;
   int64_t started_ = 0;
   bool finished_ = false;
+  int64_t finish_reported_ = 0;
+  // Set while Finish() waits for the store or a keeper.
+  std::function<void()> finish_done_;
   TimePoint next_write_{};
   int64_t written_hour_ = -1;
 };
@@ -277,6 +281,19 @@
     int64_t& stored = stored_[life];
     stored = std::max(stored, reporter.reported);
   }
+  CheckFinished();
+}
+
+// Ends Finish() once the store has this life's last report.
+void HourLedger::Impl::CheckFinished() {
+  if (!finish_done_) {
+    return;
+  }
+  const auto it =
+      stored_.find({init_.node.value, peers_.OwnIncarnation().value});
+  if (it != stored_.end() && it->second >= finish_reported_) {
+    std::exchange(finish_done_, nullptr)();
+  }
 }
 
 void HourLedger::Impl::DropStored() {
@@ -295,15 +312,15 @@
 
 void HourLedger::Impl::Finish(std::function<void()> done) {
   finished_ = true;
+  finish_reported_ = clock_.WallNow().value;
+  finish_done_ = std::move(done);
   NoteOwnReport();
   if (peers_.OwnRank() == 0) {
     WriteDays();
   }
-  auto called = std::make_shared<bool>(false);
-  Report([called, done = std::move(done)] {
-    if (!*called) {
-      *called = true;
-      done();
+  Report([self = shared_from_this()] {
+    if (self->finish_done_) {
+      std::exchange(self->finish_done_, nullptr)();
     }
   });
 }
--- a/tests/hours_test.cc
+++ b/tests/hours_test.cc
@@ -144,4 +144,26 @@
   }
 }
 
+TEST_CASE("the only entry VM of a failure domain stops gracefully") {
+  FleetInit init = MakeInit();
+  init.nodes_per_domain = 1;
+  LedgerFleet run(init);
+  run.fleet.loop.RunFor(30min);
+  run.At(0).AnnounceLeaving();
+  bool finished = false;
+  run.At(0).Ledger().Finish([&] { finished = true; });
+  run.fleet.loop.RunFor(1s);
+
+  SUBCASE("and hands its counts to the store") {
+    CHECK(finished);
+    run.fleet.Kill(0);
+    run.fleet.loop.RunFor(2h);
+    run.fleet.Start(0);
+    run.fleet.loop.RunFor(1h);
+    const std::vector<HourStatus> hours = run.Read();
+    REQUIRE_FALSE(hours.empty());
+    CHECK(hours[0].counts.answered == run.truth[hours[0].hour.value]);
+  }
+}
+
 }  // namespace comfreystand::hours
--- a/tests/support/test_ledger.h
+++ b/tests/support/test_ledger.h
@@ -55,6 +55,7 @@
   }
 
   hours::HourLedger& Ledger() { return ledger_; }
+  void AnnounceLeaving() { node_.membership->AnnounceLeaving(); }
 
  private:
   static hours::LedgerInit MakeInit(TestFleet& fleet, const TestNode& node) {
