Status page: one line for a run of hours without a value

Cause: seen in headless Chromium: a new deployment's page began with 71 lines of the same reason and pushed everything else out of view. Ruled out: leaving hours out; every hour keeps its cell in the strip. Change: consecutive hours with the same reason share a line; reasons end without a semicolon. Measured: admin_test 10 passed, with a case for the lines.

--- a/src/admin/status_page.cc
+++ b/src/admin/status_page.cc
@@ -166,6 +166,34 @@
          ": " + Percent(*hour.availability, 3) + "\"></div>";
 }
 
+// Whether an hour lacks its value for the same reason as the one before.
+bool ContinuesGap(const HourStatus& before, const HourStatus& hour) {
+  return !before.availability.has_value() && !hour.availability.has_value() &&
+         before.reason == hour.reason;
+}
+
+// One line for each run of hours that lack a value for the same reason.
+std::string RenderReasons(const std::vector<HourStatus>& hours) {
+  std::string lines;
+  for (size_t first = 0; first < hours.size(); ++first) {
+    if (hours[first].availability.has_value()) {
+      continue;
+    }
+    size_t last = first;
+    while (last + 1 < hours.size() &&
+           ContinuesGap(hours[last], hours[last + 1])) {
+      ++last;
+    }
+    lines += "<li>" + Time(hours[first].start, "%Y-%m-%d %H:%M UTC");
+    if (last > first) {
+      lines += " to " + Time(hours[last].start, "%Y-%m-%d %H:%M UTC");
+    }
+    lines += ": " + Escape(hours[first].reason) + "</li>\n";
+    first = last;
+  }
+  return lines.empty() ? lines : "<ul>\n" + lines + "</ul>\n";
+}
+
 std::string RenderHours(const StatusSnapshot& snapshot) {
   std::string html = "<h2>Availability by hour</h2>\n";
   if (snapshot.hours.empty()) {
@@ -181,14 +209,7 @@
       "</div>\n<p class=\"key\"><span class=\"good\"></span>99.9% or more"
       "<span class=\"fair\"></span>99% or more<span class=\"bad\"></span>less"
       "<span class=\"none\"></span>no value, with its reason</p>\n";
-  std::string reasons;
-  for (const HourStatus& hour : snapshot.hours) {
-    if (!hour.availability.has_value()) {
-      reasons += "<li>" + Time(hour.start, "%Y-%m-%d %H:%M UTC") + ": " +
-                 Escape(hour.reason) + "</li>\n";
-    }
-  }
-  return reasons.empty() ? html : html + "<ul>\n" + reasons + "</ul>\n";
+  return html + RenderReasons(snapshot.hours);
 }
 
 std::string RenderChanges(const StatusSnapshot& snapshot) {
--- a/src/node/hours_feed.cc
+++ b/src/node/hours_feed.cc
@@ -25,10 +25,18 @@
   return names;
 }
 
+// Reasons of several failure domains are joined, and end, with a semicolon.
+std::string WithoutEndMark(std::string reason) {
+  constexpr std::string_view kMark = "; ";
+  if (reason.ends_with(kMark))
+    reason.resize(reason.size() - kMark.size());
+  return reason;
+}
+
 HourStatus ToStatus(const hours::HourStatus& hour) {
   HourStatus status;
   status.start = WallSeconds{hour.hour.value * kSecondsPerHour};
-  status.reason = hour.reason;
+  status.reason = WithoutEndMark(hour.reason);
   const uint64_t total = hour.counts.answered + hour.counts.failed;
   if (hour.has_value) {
     status.availability =
--- a/tests/admin_test.cc
+++ b/tests/admin_test.cc
@@ -380,6 +380,27 @@
   }
 }
 
+TEST_CASE("hours without a value on the status page") {
+  StatusSnapshot snapshot;
+  constexpr int64_t kHour = 3'600;
+  for (int64_t hour = 0; hour < 5; ++hour) {
+    HourStatus status;
+    status.start = WallSeconds{hour * kHour};
+    status.reason = hour < 3 ? "no report from north" : "store damaged";
+    snapshot.hours.push_back(status);
+  }
+  const std::string page = RenderStatusPage(snapshot);
+
+  SUBCASE("share one line while the reason stays the same") {
+    CHECK(page.find("<li>1970-01-01 00:00 UTC to 1970-01-01 02:00 UTC: "
+                    "no report from north</li>") != std::string::npos);
+  }
+  SUBCASE("begin another line with another reason") {
+    CHECK(page.find("<li>1970-01-01 03:00 UTC to 1970-01-01 04:00 UTC: "
+                    "store damaged</li>") != std::string::npos);
+  }
+}
+
 TEST_CASE("the metrics endpoint") {
   EventLoop loop;
   auto registry = std::make_shared<prometheus::Registry>();
