make faults: outage, lost answer, freeze and rolling replacement of processes

Cause: the promises under faults were shown in virtual time only; the list of what is not proved named the rolling replacement of all 7 entry VMs. Ruled out: more of it in make run, which has a minute.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Entry points for people and CI. Each target installs what is missing.
-.PHONY: all setup build test lint format run bench sanitize soak proto clean
+.PHONY: all setup build test lint format run faults bench sanitize soak proto clean
 
 all: build
 
@@ -21,6 +21,10 @@
 run: build
 	@bash scripts/run.sh
 
+# Faults of real processes: outage, freeze, replacement of every entry VM.
+faults: build
+	@bash scripts/faults.sh
+
 # ONLY=name runs one benchmark.
 bench: build
 	@build/release/comfreystand bench --output build/bench $(if $(ONLY),--only $(ONLY))
