Block table from the settings; node test; dropped callbacks of HTTP clients

Cause: no test held the wiring of a node, and no node could load a block table. The first run of the new test crashed: a call of an HTTP client that had been destroyed still ran its callback, which used the destroyed store client. Ruled out: the acceptance code (it holds itself until its calls return) and the stand-ins; the backtrace ends in the store client's callback. Change: callbacks of a destroyed client are dropped; `block-table` names a file that is parsed at the start and merged in steps on the loop.

--- a/include/comfreystand/http_client.h
+++ b/include/comfreystand/http_client.h
@@ -51,6 +51,7 @@
 std::string EncodePath(std::string_view path);
 
 // Calls to one server. Reuses idle connections; opens more when all are busy.
+// Callbacks of calls under way are dropped when the client is destroyed.
 class Client {
  public:
   // `address` is "a.b.c.d:port".
--- a/include/comfreystand/settings.h
+++ b/include/comfreystand/settings.h
@@ -34,6 +34,7 @@
   std::string region;
   std::string domain;
   std::string site;
+  std::string block_table;
 
   // [listen]
   NumericAddress edge_address;
--- a/src/cli/settings_table.cc
+++ b/src/cli/settings_table.cc
@@ -36,6 +36,9 @@
     {"node", "site", &S::site, kOptional, 0, 0,
      "Site of the entry VM; when left out, the first site of its failure "
      "domain."},
+    {"node", "block-table", &S::block_table, kOptional, 0, 0,
+     "File with the client blocks and their nearness orders, read at the "
+     "start. Without one every client is taken to be near this node."},
 
     {"listen", "edge", &S::edge_address, kRequired, kAnyPort, 0,
      "Where callers look up entry VMs and send requests."},
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -107,6 +107,11 @@
     Outcome failure;
   };
 
+  struct FailedCall {
+    std::weak_ptr<Impl> owner;
+    ResponseCallback done;
+  };
+
   struct Finish {
     evhttp_connection* connection;
     std::weak_ptr<Impl> owner;
@@ -138,16 +143,15 @@
   }
 
   void FailSoon(ResponseCallback done) {
-    auto* holder = new ResponseCallback(std::move(done));
     const timeval now{};
     event_base_once(
         base_, -1, EV_TIMEOUT,
         [](evutil_socket_t, short, void* arg) {
-          const std::unique_ptr<ResponseCallback> callback(
-              static_cast<ResponseCallback*>(arg));
-          (*callback)(Response{});
+          const std::unique_ptr<FailedCall> call(static_cast<FailedCall*>(arg));
+          if (const auto impl = call->owner.lock())
+            call->done(Response{});
         },
-        holder, &now);
+        new FailedCall{weak_from_this(), std::move(done)}, &now);
   }
 
   // libevent calls this only for failures after the connection was made.
@@ -170,7 +174,8 @@
     }
     // The connection may not be freed or reused from inside its callback.
     Release(call->connection, call->owner, status != 0);
-    call->done(response);
+    if (const auto impl = call->owner.lock())
+      call->done(response);
   }
 
   static void Release(evhttp_connection* connection,
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -1,23 +1,14 @@
 #include "comfreystand/node.h"
 
-#include <fstream>
-#include <sstream>
 #include <utility>
 
 #include "comfreystand/log.h"
+#include "src/node/files.h"
 #include "src/node/node_impl.h"
 
 namespace comfreystand::node {
 namespace {
 
-bool ReadFile(const std::string& path, std::string* text) {
-  std::ifstream file(path, std::ios::binary);
-  std::ostringstream content;
-  content << file.rdbuf();
-  *text = content.str();
-  return file.good();
-}
-
 std::string PortOf(const std::string& address) {
   return address.substr(address.rfind(':') + 1);
 }
@@ -79,7 +70,7 @@
 
 bool Node::Impl::Start(std::string* error) {
   peer::TlsMaterial tls;
-  if (!ReadTls(&tls, error))
+  if (!ReadTls(&tls, error) || !LoadBlocks(error))
     return false;
   transport_ = std::make_unique<peer::GrpcTransport>(loop_, tls);
   StartMembership();
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -40,7 +40,7 @@
   void BeginStop(std::function<void()> done);
 
  private:
-  // Wiring; node.cc and node_admin.cc.
+  // Wiring; node.cc, node_admin.cc and node_blocks.cc.
   bool ReadTls(peer::TlsMaterial* tls, std::string* error) const;
   void StartMembership();
   void StartRules();
@@ -49,6 +49,8 @@
   bool StartAdmin(std::string* error);
   bool StartMetrics(std::string* error);
   std::vector<MetricSource> MetricTable();
+  bool LoadBlocks(std::string* error);
+  void StepBlocks();
   wire::Envelope HandlePeer(const wire::Envelope& request);
 
   // Rules; node_rules.cc.
@@ -86,6 +88,8 @@
   RuleSet rules_;
   std::unique_ptr<steer::ChangeGate> gate_;
   steer::SiteLookup lookup_;
+  // Set while the block table is being built.
+  std::unique_ptr<steer::BlockTableBuilder> block_builder_;
   std::unique_ptr<Capacity> capacity_;
   std::unique_ptr<GrantedDispatcher> dispatcher_;
   std::unique_ptr<Tickets> tickets_;
