Measured cost of a peer call; capacity rows for look-up and grants

Cause: docs/CAPACITY.md counted 200 us a call side by assumption. Ruled out: timing calls back to back, which finds all threads awake.

--- a/bench/all.cc
+++ b/bench/all.cc
@@ -5,6 +5,7 @@
 #include "bench/dispatch_bench.h"
 #include "bench/edge_bench.h"
 #include "bench/lookup_bench.h"
+#include "bench/peer_bench.h"
 #include "bench/region_bench.h"
 
 namespace comfreystand::bench {
@@ -15,6 +16,7 @@
   RegisterDispatchBenchmarks();
   RegisterRegionBenchmarks();
   RegisterChangeBenchmarks();
+  RegisterPeerBenchmarks();
   RegisterClusterBenchmarks();
 }
 
--- a/src/node/hours_feed.cc
+++ b/src/node/hours_feed.cc
@@ -3,6 +3,8 @@
 #include <numeric>
 #include <utility>
 
+#include "src/node/addresses.h"
+
 namespace comfreystand::node {
 namespace {
 
@@ -59,9 +61,7 @@
       clock_(clock),
       store_(store),
       membership_(membership),
-      own_address_(settings.advertised_peer_address.IsSet()
-                       ? settings.advertised_peer_address.text
-                       : settings.peer_address.text),
+      own_address_(PeerAddressOf(settings)),
       region_(hours::MakeRegionKey(settings.region)),
       ledger_(LedgerInitOf(settings),
               *loop,
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -3,21 +3,13 @@
 #include <utility>
 
 #include "comfreystand/log.h"
+#include "src/node/addresses.h"
 #include "src/node/files.h"
 #include "src/node/node_impl.h"
 
 namespace comfreystand::node {
 namespace {
 
-std::string PortOf(const std::string& address) {
-  return address.substr(address.rfind(':') + 1);
-}
-
-const NumericAddress& Advertised(const NumericAddress& advertised,
-                                 const NumericAddress& listened) {
-  return advertised.IsSet() ? advertised : listened;
-}
-
 steer::SiteLookupInit LookupInit(const NodeSettings& settings) {
   steer::SiteLookupInit init;
   init.domain = settings.domain;
@@ -101,9 +93,7 @@
   init.node = NodeId(static_cast<uint32_t>(settings_.node_id));
   init.domain = member::MakeNameKey(settings_.domain);
   init.site = member::MakeNameKey(settings_.site);
-  init.address =
-      Advertised(settings_.advertised_peer_address, settings_.peer_address)
-          .text;
+  init.address = PeerAddressOf(settings_);
   init.incarnation = Incarnation{static_cast<uint64_t>(clock_.WallNow().value)};
   init.seed = static_cast<uint64_t>(settings_.node_id) + 1;
   init.period = settings_.heartbeat_interval;
@@ -138,7 +128,7 @@
   init.started = loop_->Now();
   capacity_ = std::make_unique<Capacity>(
       init, loop_, transport_.get(),
-      [this](NodeId node) { return PeerAddressOf(node); });
+      [this](NodeId node) { return FindPeer(node); });
   dispatcher_ = std::make_unique<GrantedDispatcher>(
       steer::CreateDispatcher(DispatchInit(settings_)), capacity_.get());
   tickets_ = std::make_unique<Tickets>(init.node, init.incarnation);
@@ -150,10 +140,8 @@
       [this](std::string_view name, std::string_view address) {
         return membership_->IsLeaving(name, address);
       });
-  sites_ = std::make_unique<SiteDirectory>(
-      &lookup_, PortOf(Advertised(settings_.advertised_edge_address,
-                                  settings_.edge_address)
-                           .text));
+  sites_ = std::make_unique<SiteDirectory>(&lookup_,
+                                           PortOf(EdgeAddressOf(settings_)));
   edge::ServerInit init;
   init.listen_address = settings_.edge_address.text;
   init.max_request_header_bytes =
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -60,7 +60,8 @@
   // Periodic work; node_tick.cc.
   void ScheduleLimits();
   void ScheduleRenewal();
-  std::string PeerAddressOf(NodeId node) const;
+  // Peer address of a node that is alive, or empty.
+  std::string FindPeer(NodeId node) const;
   void ScheduleTick();
   void Tick();
   void FetchVmList();
--- a/src/node/node_tick.cc
+++ b/src/node/node_tick.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "comfreystand/log.h"
+#include "src/node/addresses.h"
 #include "src/node/node_impl.h"
 
 namespace comfreystand::node {
@@ -11,14 +12,6 @@
 
 constexpr Duration kLimitPeriod = std::chrono::milliseconds(200);
 
-std::string HostOf(const std::string& address) {
-  return address.substr(0, address.rfind(':') + 1);
-}
-
-std::string PortOf(const std::string& address) {
-  return address.substr(address.rfind(':') + 1);
-}
-
 // Where the entry VMs of the list and the settings may answer peers. The VM
 // list names the caller's port; peers share the peer port of this node.
 std::vector<member::Contact> ContactsOf(const std::vector<VmEntry>& vms,
@@ -28,7 +21,7 @@
   for (const VmEntry& vm : vms) {
     if (vm.role == VmEntry::Role::kEntry) {
       contacts.push_back(
-          {HostOf(vm.address) + port, member::MakeNameKey(vm.domain)});
+          {WithPort(vm.address, port), member::MakeNameKey(vm.domain)});
     }
   }
   for (const NumericAddress& seed : settings.seeds) {
@@ -64,7 +57,7 @@
                      });
 }
 
-std::string Node::Impl::PeerAddressOf(NodeId node) const {
+std::string Node::Impl::FindPeer(NodeId node) const {
   for (const member::DomainInfo& domain : membership_->Domains()) {
     for (const member::MemberInfo& member : domain.members) {
       if (member.node == node && member.reachable && domain.current &&
--- a/src/node/site_directory.cc
+++ b/src/node/site_directory.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/node/addresses.h"
+
 namespace comfreystand::node {
 namespace {
 
@@ -10,12 +12,6 @@
 using member::MemberInfo;
 using member::MemberState;
 
-// The edge address of a member: its peer address with the edge port.
-std::string EdgeAddress(const MemberInfo& member, const std::string& port) {
-  const size_t colon = member.address.rfind(':');
-  return member.address.substr(0, colon + 1) + port;
-}
-
 bool IsOffered(const MemberInfo& member) {
   return member.state == MemberState::kAlive && !member.address.empty();
 }
@@ -52,7 +48,7 @@
       if (member.site != key)
         continue;
       if (IsOffered(member)) {
-        addresses.entry_vms.push_back(EdgeAddress(member, edge_port_));
+        addresses.entry_vms.push_back(WithPort(member.address, edge_port_));
         state.live = state.live || domain.current;
       } else if (member.state == MemberState::kLeaving) {
         ++leaving;
