One node a failure domain asks for the VM list; the others take it from there

Cause: every node fetched the whole VM list every second. By calculation that is 560 calls/s at the platform and, at 120 bytes for each of 560 entry VMs alone, 67 KB/s a node, of 11 KB/s for all control. Ruled out: a longer interval; it delays leave signals and still sends the whole list. Change: the top-ranked member asks, with If-None-Match; the others ask it with the hash they have, and the platform when it stays silent for two polls. A node that starts while the platform is down takes the list from a member or a seed.

--- a/include/comfreystand/platform_http.h
+++ b/include/comfreystand/platform_http.h
@@ -39,13 +39,19 @@
   StoreStats stats_;
 };
 
+// Asks for the list only when it has changed, if the platform names versions
+// of it by entity tags.
 class HttpVmList final : public VmList {
  public:
   HttpVmList(event_base* base, std::string address);
   void Fetch(VmListCallback done) override;
 
  private:
+  StoreStatus Take(const http::Response& response);
+
   http::Client client_;
+  std::string entity_tag_;
+  std::vector<VmEntry> last_;
 };
 
 // JSON form of the list, shared with the stand-in.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -70,6 +70,9 @@
   StartDispatch();
   hours_ = std::make_unique<HoursFeed>(settings_, loop_, &clock_, &store_,
                                        transport_.get(), membership_.get());
+  vm_feed_ = std::make_unique<VmFeed>(
+      &vm_list_, transport_.get(),
+      [this](const std::vector<platform::VmEntry>& vms) { OnVmList(vms); });
   peer_server_ = std::make_unique<peer::GrpcServer>(
       loop_, settings_.peer_address.text, tls,
       [this](const wire::Envelope& request) { return HandlePeer(request); });
@@ -163,6 +166,7 @@
   membership_->Handle(request, &reply);
   capacity_->Handle(request, &reply);
   hours_->Handle(request, &reply);
+  vm_feed_->Handle(request, &reply);
   return reply;
 }
 
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -27,6 +27,7 @@
 #include "src/node/names.h"
 #include "src/node/site_directory.h"
 #include "src/node/tickets.h"
+#include "src/node/vm_feed.h"
 
 namespace comfreystand::node {
 
@@ -64,7 +65,7 @@
   std::string FindPeer(NodeId node) const;
   void ScheduleTick();
   void Tick();
-  void FetchVmList();
+  void PollVmList();
   void OnVmList(const std::vector<platform::VmEntry>& vms);
   void UpdateBackends();
   void UpdateSites();
@@ -80,6 +81,7 @@
   SystemClock clock_;
   platform::HttpKeyValueStore store_;
   platform::HttpVmList vm_list_;
+  std::unique_ptr<VmFeed> vm_feed_;
   std::unique_ptr<peer::GrpcTransport> transport_;
   std::unique_ptr<peer::GrpcServer> peer_server_;
   std::unique_ptr<platform::Acceptance> acceptance_;
@@ -101,7 +103,6 @@
   std::unique_ptr<NodeAdmin> admin_;
   std::unique_ptr<admin::AdminServer> admin_server_;
   std::unique_ptr<admin::MetricsServer> metrics_server_;
-  bool vm_list_seen_ = false;
 
   member::GracefulStop stop_;
   std::function<void()> stopped_;
--- a/src/node/node_tick.cc
+++ b/src/node/node_tick.cc
@@ -77,9 +77,9 @@
 }
 
 void Node::Impl::Tick() {
-  if (!vm_list_seen_)
+  if (!vm_feed_->HasList())
     membership_->SetContacts(ContactsOf({}, settings_));
-  FetchVmList();
+  PollVmList();
   ReportBackendsLeaving();
   UpdateBackends();
   UpdateSites();
@@ -89,17 +89,16 @@
   ScheduleTick();
 }
 
-void Node::Impl::FetchVmList() {
-  vm_list_.Fetch(
-      [this, alive = std::weak_ptr<bool>(alive_)](
-          platform::StoreStatus status, const std::vector<VmEntry>& vms) {
-        if (!alive.expired() && status == platform::StoreStatus::kOk)
-          OnVmList(vms);
-      });
+void Node::Impl::PollVmList() {
+  std::vector<std::string> seeds;
+  for (const NumericAddress& seed : settings_.seeds) {
+    if (seed.text != PeerAddressOf(settings_))
+      seeds.push_back(seed.text);
+  }
+  vm_feed_->Poll(hours_->RankedAddresses(), seeds);
 }
 
 void Node::Impl::OnVmList(const std::vector<VmEntry>& vms) {
-  vm_list_seen_ = true;
   membership_->SetContacts(ContactsOf(vms, settings_));
   membership_->ReportVmList(vms, clock_.WallNow());
   backends_->SetVms(vms);
--- a/standins/vm_list.cc
+++ b/standins/vm_list.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int kHttpOk = 200;
+constexpr int kHttpNotModified = 304;
 constexpr int kHttpBadRequest = 400;
 constexpr int kHttpNotFound = 404;
 constexpr int kHttpUnavailable = 503;
@@ -43,6 +44,21 @@
   static_cast<VmListServer*>(arg)->Handle(request);
 }
 
+void VmListServer::SendList(evhtp_request* request) {
+  if (outage_) {
+    SendAnswer(request, kHttpUnavailable, {});
+    return;
+  }
+  const std::string list = platform::EncodeVmList(visible_);
+  const std::string tag = std::to_string(StableHash(list));
+  const char* known = evhtp_header_find(request->headers_in, "If-None-Match");
+  AddHeader(request, "ETag", tag);
+  const bool is_known = known && tag == known;
+  ++(is_known ? unchanged_answers_ : whole_answers_);
+  SendAnswer(request, is_known ? kHttpNotModified : kHttpOk,
+             is_known ? std::string() : list);
+}
+
 void VmListServer::Handle(evhtp_request* request) {
   const std::string path = PathOf(request);
   const bool is_write = request->method == htp_method_PUT;
@@ -53,8 +69,7 @@
       Replace(std::move(vms));
     SendAnswer(request, ok ? kHttpOk : kHttpBadRequest, {});
   } else if (path == "/v1/vms") {
-    SendAnswer(request, outage_ ? kHttpUnavailable : kHttpOk,
-               outage_ ? std::string() : platform::EncodeVmList(visible_));
+    SendList(request);
   } else if (path == "/control") {
     outage_ = QueryText(request, "outage") == "yes";
     SendAnswer(request, kHttpOk, {});
