--- a/src/cli/load_verb.cc
+++ b/src/cli/load_verb.cc
@@ -1,5 +1,9 @@
+#include <unistd.h>
+
 #include <algorithm>
 #include <array>
+#include <cstdio>
+#include <functional>
 #include <ostream>
 #include <string>
 #include <vector>
@@ -48,6 +52,27 @@
              : spec.set(text, options);
 }
 
+bool OnTerminal() {
+  return isatty(STDERR_FILENO) == 1;
+}
+
+// Shows progress on one line of a terminal; nothing elsewhere.
+std::function<void(const load::Progress&)> TerminalProgress() {
+  if (!OnTerminal())
+    return {};
+  return [](const load::Progress& progress) {
+    std::fprintf(stderr, "\r%4.0f s  %llu sent  %llu answered",
+                 std::chrono::duration<double>(progress.elapsed).count(),
+                 static_cast<unsigned long long>(progress.sent),
+                 static_cast<unsigned long long>(progress.answered));
+  };
+}
+
+void ClearProgress() {
+  if (OnTerminal())
+    std::fprintf(stderr, "\r\033[K");
+}
+
 ExitCode RunLoad(const Invocation& invocation) {
   load::Options options;
   for (const load::OptionSpec& spec : load::OptionTable()) {
@@ -64,7 +89,8 @@
     invocation.Err() << "comfreystand: --entry-vm and --service are required\n";
     return ExitCode::kUsage;
   }
-  const load::Result result = load::Run(options);
+  const load::Result result = load::Run(options, TerminalProgress());
+  ClearProgress();
   invocation.Out() << (invocation.Json() ? load::ToJson(result) + "\n"
                                          : load::ToTable(result));
   const bool clean = result.mixed_answers == 0 && result.duplicate_runs == 0 &&
