A share of slots that rises waits until the others have given theirs up

Cause: a rule change applied new shares at once. A node that heard of it first could use a raised share while another still used its old one, so that the sum could exceed the slots of the failure domain for as long as the file spreads. Ruled out: waiting for every node's version; the node does not hear of all nodes of other failure domains in time, and one dead node would hold all. Change: RegionPlanner::ChangeRules() keeps a raised share back for 20 s. The sum over several nodes during a change has no history test yet. Conclusion: kept; a node cut off for longer remains as a gap.

--- a/include/comfreystand/limits.h
+++ b/include/comfreystand/limits.h
@@ -141,6 +141,8 @@
 constexpr std::chrono::milliseconds kGrantMargin = 50ms;
 constexpr double kClockDrift = 0.01;
 constexpr double kMaxLentShare = 0.5;
+// Longer than a rule file takes to be in force everywhere and a loan to end.
+constexpr std::chrono::seconds kShareRaiseDelay = 20s;
 
 // Regions.
 // Most other nodes of the own region, and of other regions, that a node borrows
--- a/include/comfreystand/steer/region.h
+++ b/include/comfreystand/steer/region.h
@@ -69,6 +69,11 @@
   // rules may still be finished.
   void SetRules(const RuleSet& rules);
 
+  // As SetRules(), for a change of rules in force. A share that rises does so
+  // only after limits::kShareRaiseDelay, when every reachable node whose share
+  // falls has applied that and what it had lent has expired.
+  void ChangeRules(TimePoint now, const RuleSet& rules);
+
   // Excludes an owner that the live view has lost, or takes it back.
   void SetReachable(NodeId node, bool reachable);
 
@@ -136,12 +141,21 @@
   int OwnersIn(bool same_region) const;
   LinkBudget* Link(RegionId region);
   void SetDemands(const RuleSet& rules, const NodePlace& place);
+  void ApplyRaises(TimePoint now);
   void SetOwners(const RuleSet& rules);
   void SetLinks(const RuleSet& rules);
 
+  struct ShareRaise {
+    ServiceKey service;
+    Slots share;
+    TimePoint due;
+  };
+
   GrantInit init_;
   GrantLedger ledger_;
   GrantHolder holder_;
+  // Shares that rise later.
+  std::vector<ShareRaise> raises_;
   RegionId home_region_;
   DomainId home_domain_;
   // Nodes to borrow from, those of the home region first.
--- a/src/node/capacity.cc
+++ b/src/node/capacity.cc
@@ -34,7 +34,10 @@
 }
 
 void Capacity::SetRules(const RuleSet& rules, const StableNames& names) {
-  planner_.SetRules(rules);
+  if (active_)
+    planner_.ChangeRules(loop_->Now(), rules);
+  else
+    planner_.SetRules(rules);
   active_ = steer::PlaceOf(rules, nodes_.front()).has_value();
   services_ = HandlesOf<ServiceId>(names.services(), rules.services);
   domains_ = HandlesOf<DomainId>(names.domains(), rules.domains);
--- a/src/steer/region_planner.cc
+++ b/src/steer/region_planner.cc
@@ -34,6 +34,34 @@
   SetLinks(rules);
 }
 
+void RegionPlanner::ChangeRules(TimePoint now, const RuleSet& rules) {
+  std::map<ServiceKey, Slots> before;
+  for (const Demand& demand : demands_) {
+    before[demand.key] = ledger_.Share(demand.key);
+  }
+  SetRules(rules);
+  raises_.clear();
+  for (const Demand& demand : demands_) {
+    const Slots share = ledger_.Share(demand.key);
+    // Nobody holds slots of a service that is new.
+    const auto held = before.find(demand.key);
+    if (held != before.end() && share > held->second) {
+      ledger_.SetShare(demand.key, held->second);
+      raises_.push_back({demand.key, share, now + limits::kShareRaiseDelay});
+    }
+  }
+}
+
+void RegionPlanner::ApplyRaises(TimePoint now) {
+  std::erase_if(raises_, [&](const ShareRaise& raise) {
+    if (now < raise.due) {
+      return false;
+    }
+    ledger_.SetShare(raise.service, raise.share);
+    return true;
+  });
+}
+
 // Services keep what was seen of them when their handles change.
 void RegionPlanner::SetDemands(const RuleSet& rules, const NodePlace& place) {
   const std::vector<Demand> former = std::move(demands_);
@@ -206,6 +234,7 @@
 }
 
 std::vector<GrantCall> RegionPlanner::Renew(TimePoint now) {
+  ApplyRaises(now);
   for (Demand& demand : demands_) {
     UpdateDemand(&demand);
     const int own = static_cast<int>(
--- a/tests/region_test.cc
+++ b/tests/region_test.cc
@@ -106,6 +106,27 @@
     fleet.Renew();
     CHECK(fleet.Fill(seconds(1)) == 0);
   }
+  SUBCASE("and waits for the others before it uses a share that rose") {
+    RuleSet rules = TwoRegions(Bytes{1'000'000});
+    for (PlacementRule& rule : rules.placements) {
+      rule.backends *= 2;
+    }
+    fleet.cut_off = 0;
+    fleet.nodes[0].ChangeRules(fleet.now, rules);
+    CHECK(fleet.Fill(seconds(1)) == 12);
+    fleet.now += limits::kShareRaiseDelay;
+    fleet.Renew();
+    CHECK(fleet.Fill(seconds(1)) == 12);
+  }
+  SUBCASE("and gives up at once what a share lost") {
+    RuleSet rules = TwoRegions(Bytes{1'000'000});
+    for (PlacementRule& rule : rules.placements) {
+      rule.backends /= 2;
+    }
+    fleet.cut_off = 0;
+    fleet.nodes[0].ChangeRules(fleet.now, rules);
+    CHECK(fleet.Fill(seconds(1)) == 6);
+  }
   SUBCASE("and gets its slots back under changed rules") {
     const auto placement = fleet.nodes[0].Place(fleet.now, kService,
                                                 fleet.now + seconds(1), kBytes);
