Faults that the sanitizers found: admin shutdown, an overflow in a test

Cause: make sanitize, its first whole run, stopped admin_test with a use-after-free: libevhtp releases a connection's last request after telling that the connection is closed, and the handler used the freed client. In ticket_test an int overflowed when a step moved time by over 2,147 s. Change: the handler looks the client up; the step counts in 64 bits.

--- a/src/admin/server.cc
+++ b/src/admin/server.cc
@@ -225,7 +225,7 @@
     evhtp_connection_set_hook(conn, evhtp_hook_on_write, ToHook(&OnWritten),
                               client);
     evhtp_connection_set_hook(conn, evhtp_hook_on_request_fini,
-                              ToHook(&OnRequestReleased), client);
+                              ToHook(&OnRequestReleased), server);
     evhtp_connection_set_hook(conn, evhtp_hook_on_connection_fini,
                               ToHook(&OnClosed), client);
     return EVHTP_RES_OK;
@@ -294,11 +294,13 @@
     }
   }
 
-  static evhtp_res OnRequestReleased(evhtp_request_t* request, void* arg) {
-    auto* client = static_cast<Client*>(arg);
-    if (client->pending) {
-      client->pending->request = nullptr;
-      client->pending.reset();
+  // libevhtp releases a connection's last request after OnClosed().
+  static evhtp_res OnRequestReleased(evhtp_request_t* request, void* self) {
+    auto* server = static_cast<Impl*>(self);
+    const auto client = server->clients_.find(request->conn);
+    if (client != server->clients_.end() && client->second.pending) {
+      client->second.pending->request = nullptr;
+      client->second.pending.reset();
     }
     return EVHTP_RES_OK;
   }
--- a/tests/ticket_test.cc
+++ b/tests/ticket_test.cc
@@ -149,7 +149,7 @@
           ++accepted[ticket];
         }
       } else if (what == 6) {
-        now += Duration(1'000'000 * event);
+        now += Duration(int64_t{1'000'000} * event);
       } else {
         nodes[at] = Node(static_cast<uint32_t>(at), ++incarnations[at]);
       }
