The event loop frees tasks whose time never came

Cause: the sanitizer run of node_test and platform_http_test reported leaks: delayed tasks of a loop that was destroyed before they were due. Ruled out: the stand-ins and the node; both post through the same call. Change: the loop owns its delayed tasks. Measured: node, platform_http, peer, vm_feed, admin and edge tests pass in release. Conclusion: kept; make sanitize is not green yet.

--- a/src/loop/event_loop.cc
+++ b/src/loop/event_loop.cc
@@ -4,6 +4,7 @@
 #include <event2/thread.h>
 
 #include <mutex>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -18,15 +19,6 @@
   return result;
 }
 
-struct DelayedTask {
-  std::function<void()> run;
-};
-
-void RunDelayedTask(evutil_socket_t, short, void* arg) {
-  const std::unique_ptr<DelayedTask> task(static_cast<DelayedTask*>(arg));
-  task->run();
-}
-
 struct SignalHandler {
   event* source = nullptr;
   std::function<void()> run;
@@ -59,6 +51,8 @@
       event_free(handler->source);
     event_free(wakeup_);
     event_base_free(base_);
+    for (DelayedTask* task : delayed_)
+      delete task;
   }
 
   void RunInLoop(std::function<void()> task) {
@@ -77,9 +71,29 @@
     signals_.push_back(std::move(entry));
   }
 
+  void PostDelayed(Duration delay, std::function<void()> task) {
+    const timeval when = ToTimeval(delay);
+    auto* holder = new DelayedTask{this, std::move(task)};
+    delayed_.insert(holder);
+    event_base_once(base_, -1, EV_TIMEOUT, &Impl::RunDelayedTask, holder,
+                    &when);
+  }
+
   event_base* base() const { return base_; }
 
  private:
+  // A task whose time has not come; owned by the loop until it runs.
+  struct DelayedTask {
+    Impl* loop = nullptr;
+    std::function<void()> run;
+  };
+
+  static void RunDelayedTask(evutil_socket_t, short, void* arg) {
+    const std::unique_ptr<DelayedTask> task(static_cast<DelayedTask*>(arg));
+    task->loop->delayed_.erase(task.get());
+    task->run();
+  }
+
   static void OnWakeup(evutil_socket_t, short, void* arg) {
     static_cast<Impl*>(arg)->RunHandedOver();
   }
@@ -96,6 +110,7 @@
 
   event_base* base_ = nullptr;
   event* wakeup_ = nullptr;
+  std::unordered_set<DelayedTask*> delayed_;
   std::vector<std::unique_ptr<SignalHandler>> signals_;
   std::mutex mutex_;
   std::vector<std::function<void()>> handed_over_;
@@ -109,10 +124,7 @@
 }
 
 void EventLoop::PostDelayed(Duration delay, std::function<void()> task) {
-  const timeval when = ToTimeval(delay);
-  auto* holder = new DelayedTask{std::move(task)};
-  event_base_once(impl_->base(), -1, EV_TIMEOUT, &RunDelayedTask, holder,
-                  &when);
+  impl_->PostDelayed(delay, std::move(task));
 }
 
 void EventLoop::RunInLoop(std::function<void()> task) {
