Renew loans from one pass over the live view; rebuild only on changed limits

Cause: found by reading the change. Each renewal asked for every node's address by building the whole live view anew: 560 views of 560 members every 2 s at the target. And slot limits, set 5 times a second, had each service's choice rebuilt although nothing had changed. Ruled out: a check in the caller for unchanged limits; the dispatcher knows the limits and serves every caller. Change: the live addresses are collected once a renewal; SetSlotLimit() marks a rebuild only when the limit differs. Behaviour is the same. The processor time saved at 560 nodes is by reading, not by a run.

--- a/src/node/capacity.cc
+++ b/src/node/capacity.cc
@@ -25,10 +25,10 @@
 Capacity::Capacity(const steer::GrantInit& init,
                    Loop* loop,
                    peer::Transport* transport,
-                   AddressQuery address_of)
+                   AddressQuery live_addresses)
     : loop_(loop),
       transport_(transport),
-      address_of_(std::move(address_of)),
+      live_addresses_(std::move(live_addresses)),
       planner_(init) {
   nodes_.push_back(init.node);
 }
@@ -87,8 +87,9 @@
     if (service.IsValid())
       planner_.NoteWaiting(service, waiting / services_.size());
   }
+  addresses_ = live_addresses_();
   for (size_t i = 1; i < nodes_.size(); ++i)
-    planner_.SetReachable(nodes_[i], !address_of_(nodes_[i]).empty());
+    planner_.SetReachable(nodes_[i], addresses_.contains(nodes_[i]));
   for (const steer::GrantCall& call : planner_.Renew(loop_->Now()))
     Send(call);
 }
@@ -97,7 +98,7 @@
   wire::Envelope request;
   request.set_from_node(nodes_.front().value);
   *request.mutable_grant()->mutable_request() = call.request;
-  transport_->Call(address_of_(call.owner), request,
+  transport_->Call(addresses_[call.owner], request,
                    [this, alive = std::weak_ptr<bool>(alive_)](
                        bool ok, const wire::Envelope& reply) {
                      if (alive.expired() || !ok || !reply.grant().has_reply())
--- a/src/node/capacity.h
+++ b/src/node/capacity.h
@@ -22,13 +22,13 @@
 // it. Renews loans and answers those who borrow.
 class Capacity {
  public:
-  // Peer address of a node, or empty when it is not known to be alive.
-  using AddressQuery = std::function<std::string(NodeId node)>;
+  // Peer addresses of the nodes that are known to be alive.
+  using AddressQuery = std::function<std::map<NodeId, std::string>()>;
 
   Capacity(const steer::GrantInit& init,
            Loop* loop,
            peer::Transport* transport,
-           AddressQuery address_of);
+           AddressQuery live_addresses);
 
   // Applies a rule file as written; `names` gives its stable handles.
   void SetRules(const RuleSet& rules, const StableNames& names);
@@ -60,7 +60,9 @@
 
   Loop* loop_;
   peer::Transport* transport_;
-  AddressQuery address_of_;
+  AddressQuery live_addresses_;
+  // As of the last renewal.
+  std::map<NodeId, std::string> addresses_;
   steer::RegionPlanner planner_;
   bool active_ = false;
   // Handles of the rule file by stable handle; invalid for names that the file
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -129,9 +129,8 @@
   init.node = NodeId(static_cast<uint32_t>(settings_.node_id));
   init.incarnation = membership_->OwnIncarnation();
   init.started = loop_->Now();
-  capacity_ = std::make_unique<Capacity>(
-      init, loop_, transport_.get(),
-      [this](NodeId node) { return FindPeer(node); });
+  capacity_ = std::make_unique<Capacity>(init, loop_, transport_.get(),
+                                         [this] { return LiveAddresses(); });
   dispatcher_ = std::make_unique<GrantedDispatcher>(
       steer::CreateDispatcher(DispatchInit(settings_)), capacity_.get());
   tickets_ = std::make_unique<Tickets>(init.node, init.incarnation);
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -2,6 +2,7 @@
 #define COMFREYSTAND_SRC_NODE_NODE_IMPL_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -61,8 +62,8 @@
   // Periodic work; node_tick.cc.
   void ScheduleLimits();
   void ScheduleRenewal();
-  // Peer address of a node that is alive, or empty.
-  std::string FindPeer(NodeId node) const;
+  // Peer addresses of the nodes that are alive and can be reached.
+  std::map<NodeId, std::string> LiveAddresses() const;
   void ScheduleTick();
   void Tick();
   void PollVmList();
--- a/src/node/node_tick.cc
+++ b/src/node/node_tick.cc
@@ -57,15 +57,16 @@
                      });
 }
 
-std::string Node::Impl::FindPeer(NodeId node) const {
+std::map<NodeId, std::string> Node::Impl::LiveAddresses() const {
+  std::map<NodeId, std::string> addresses;
   for (const member::DomainInfo& domain : membership_->Domains()) {
     for (const member::MemberInfo& member : domain.members) {
-      if (member.node == node && member.reachable && domain.current &&
+      if (member.reachable && domain.current && !member.address.empty() &&
           member.state != member::MemberState::kDead)
-        return member.address;
+        addresses.emplace(member.node, member.address);
     }
   }
-  return {};
+  return addresses;
 }
 
 void Node::Impl::ScheduleTick() {
--- a/src/steer/balance_pool.cc
+++ b/src/steer/balance_pool.cc
@@ -27,18 +27,21 @@
 
 }  // namespace
 
-void ServicePool::SetLimit(DomainId domain, int32_t limit) {
+bool ServicePool::SetLimit(DomainId domain, int32_t limit) {
   const auto known =
       std::find_if(limits_.begin(), limits_.end(),
                    [&](const auto& item) { return item.first == domain; });
   if (known == limits_.end()) {
     limits_.emplace_back(domain, limit);
+  } else if (known->second == limit) {
+    return false;
   } else {
     known->second = limit;
   }
   if (DomainLoad* load = FindLoad(domain)) {
     load->limit = limit;
   }
+  return true;
 }
 
 Choice ServicePool::Choose(TimePoint now, const ChoiceRequest& request) {
--- a/src/steer/balance_pool.h
+++ b/src/steer/balance_pool.h
@@ -60,7 +60,8 @@
                uint32_t connections);
 
   // Bounds the slots used in one failure domain; -1 sets no bound.
-  void SetLimit(DomainId domain, int32_t limit);
+  // Returns whether that changed anything.
+  bool SetLimit(DomainId domain, int32_t limit);
 
   // Chooses a backend server with a free slot. Invalid when there is none.
   Choice Choose(TimePoint now, const ChoiceRequest& request);
--- a/src/steer/dispatch_core.cc
+++ b/src/steer/dispatch_core.cc
@@ -69,8 +69,9 @@
   while (service.value >= services_.size()) {
     services_.emplace_back(init_.tuning, &backends_);
   }
-  services_[service.value].pool.SetLimit(domain, limit.value);
-  MarkRebuild(service);
+  if (services_[service.value].pool.SetLimit(domain, limit.value)) {
+    MarkRebuild(service);
+  }
 }
 
 void DispatcherCore::CancelRequest(TimePoint now, RequestHandle handle) {
