--- a/include/comfreystand/edge.h
+++ b/include/comfreystand/edge.h
@@ -10,6 +10,7 @@
 
 #include "comfreystand/base.h"
 #include "comfreystand/limits.h"
+#include "comfreystand/relay_protocol.h"
 #include "comfreystand/steer/dispatch.h"
 #include "comfreystand/steer/lookup.h"
 
@@ -40,6 +41,8 @@
   BackendId id;
   // Numeric address and port, "a.b.c.d:port".
   std::string address;
+  // Name that the backend server knows itself by; empty when unknown.
+  std::string name;
   // Most connections from this entry VM.
   int max_connections = limits::kMaxConnectionsPerBackend;
 };
@@ -83,6 +86,14 @@
   virtual TicketVerdict Redeem(TimePoint now, std::string_view ticket) = 0;
 };
 
+// What a caller may send and how long it may take.
+struct CallerLimits {
+  size_t header_bytes = limits::kMaxRequestHeaderBytes;
+  size_t body_bytes = limits::kMaxRequestBodyBytes;
+  Duration header_timeout = limits::kCallerProgressTimeout;
+  Duration idle_timeout = limits::kCallerProgressTimeout;
+};
+
 // How far a planned stop has got.
 enum class DrainState : uint8_t {
   kServing,
@@ -95,6 +106,9 @@
 struct ServerInit {
   // Numeric address and port to listen on; port 0 lets the kernel choose.
   std::string listen_address = "127.0.0.1:0";
+  // Meaning of headers; the product's own interface when null. Must outlive
+  // the server.
+  const RelayProtocol* protocol = nullptr;
   std::vector<ServiceName> services;
   std::vector<ClassName> classes;
   std::vector<SiteAddresses> sites;
@@ -110,9 +124,19 @@
   int max_callers = limits::kMaxCallerConnections;
   // A caller that sends or takes no byte for this long is disconnected.
   Duration caller_timeout = limits::kCallerProgressTimeout;
+  // From the first byte of a request's head to its last.
+  Duration header_timeout = limits::kCallerProgressTimeout;
+  // After which a caller's connection without a request is closed.
+  Duration idle_timeout = limits::kCallerProgressTimeout;
   Duration connect_timeout = limits::kBackendConnectTimeout;
   // A busy backend connection without a byte for this long counts as silent.
   Duration backend_timeout = limits::kBackendProgressTimeout;
+  // Bytes that a backend server has not acknowledged for this long break the
+  // connection.
+  Duration unacknowledged_timeout = limits::kBackendProgressTimeout;
+  // How long a connection to a backend server is kept without a request when
+  // that one has not told its own limit.
+  Duration backend_idle = limits::kBackendIdle;
   // How long a backend server may take to confirm a cancellation.
   Duration cancel_timeout = limits::kCancelTimeout;
   Duration max_deadline = limits::kMaxDeadline;
@@ -129,29 +153,6 @@
   bool tickets_required = false;
 };
 
-// Why a request was answered without being handed to the dispatcher, or was
-// cut off. Index of Stats::faults.
-enum class Fault : uint8_t {
-  kMalformed,
-  kHeadersTooLarge,
-  kBodyTooLarge,
-  kUnknownService,
-  kUnknownPath,
-  kBadHeaderValue,
-  kDeadlineAlreadyPassed,
-  kTicketMissing,
-  kTicketRefused,
-  kTooManyCallers,
-  kCallerTimeout,
-  kCallerReset,
-  kAnswerTruncated,
-  kAnswerTooLarge,
-  kCount,
-};
-
-// Name of a fault for metrics: "headers_too_large" and so on.
-std::string_view ToString(Fault fault);
-
 // Counters since the start, except for the fields under "now".
 struct Stats {
   uint64_t lookups = 0;
@@ -213,6 +214,9 @@
   void SetTables(std::vector<ServiceName> services,
                  std::vector<ClassName> classes);
 
+  // Replaces the bounds of connections and requests that begin later.
+  void SetCallerBounds(const CallerLimits& bounds);
+
   void SetDrainState(DrainState state);
 
   // Asks the dispatcher for actions soon. To be called after the dispatcher
--- a/include/comfreystand/limits.h
+++ b/include/comfreystand/limits.h
@@ -55,6 +55,10 @@
 constexpr std::chrono::milliseconds kCallerProgressTimeout = 30'000ms;
 constexpr std::chrono::milliseconds kBackendConnectTimeout = 1'000ms;
 constexpr std::chrono::milliseconds kBackendProgressTimeout = 10'000ms;
+constexpr std::chrono::milliseconds kBackendIdle = 60'000ms;
+// Part of a backend server's idle limit that is left unused, so that a request
+// doesn't meet the close.
+constexpr std::chrono::milliseconds kBackendIdleMargin = 1'500ms;
 constexpr std::chrono::milliseconds kCancelTimeout = 1'000ms;
 constexpr std::chrono::milliseconds kProbeTimeout = 1'000ms;
 constexpr std::chrono::milliseconds kDefaultDeadline = 10'000ms;
--- /dev/null
+++ b/include/comfreystand/platform_gateway.h
@@ -0,0 +1,37 @@
+#ifndef COMFREYSTAND_PLATFORM_GATEWAY_H_
+#define COMFREYSTAND_PLATFORM_GATEWAY_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "comfreystand/gateway.h"
+
+namespace comfreystand::platform {
+
+// A gateway on the platform: follows the platform's store and answers the
+// platform's calls.
+class PlatformGateway {
+ public:
+  PlatformGateway(EventLoop* loop, const gateway::GatewaySettings& settings);
+  ~PlatformGateway();
+  PlatformGateway(const PlatformGateway&) = delete;
+  PlatformGateway& operator=(const PlatformGateway&) = delete;
+
+  // Opens the listeners and begins to follow the store. Returns false and
+  // sets `error` when an address can't be used.
+  bool Start(std::string* error);
+
+  // Takes the node out of look-ups, finishes its requests and calls `done`.
+  void BeginStop(std::function<void()> done);
+
+  gateway::Gateway& gateway();
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace comfreystand::platform
+
+#endif  // COMFREYSTAND_PLATFORM_GATEWAY_H_
--- a/include/comfreystand/steer/dispatch.h
+++ b/include/comfreystand/steer/dispatch.h
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
+#include <vector>
 
 #include "comfreystand/base.h"
 #include "comfreystand/rules.h"
@@ -12,6 +14,15 @@
 // (listener or experiment) reports events and carries out actions.
 namespace comfreystand::steer {
 
+// How busy a backend server said that it is, with one of its answers.
+struct LoadHeader {
+  int running = 0;
+  int waiting = 0;
+  int slots = 0;
+  // How long work takes on its machine at this moment; 1 is as usual.
+  double work_factor = 1;
+};
+
 struct RequestTraits {
   ServiceId service{};
   CallerId caller{};
@@ -22,6 +33,18 @@
   bool idempotent = false;
   TimePoint arrival{};
   TimePoint deadline{};
+  // Hash of the object that the request is about; zero when it names none.
+  // Backend servers do work for objects that they had lately in less time.
+  uint64_t object = 0;
+  // Time within which an answer is worth most; zero when unknown.
+  Duration goal{0};
+  // Added to that of the class; higher values are served first.
+  int priority = 0;
+  // Most backend servers that the request may be sent to; zero leaves it to
+  // the tuning.
+  uint8_t max_attempts = 0;
+  // Regions that may serve the request, a bit each; all when zero.
+  uint64_t regions = 0;
 };
 
 // Why a request ended without an answer from a backend server.
@@ -89,6 +112,13 @@
   bool leaving = false;
   // Free slots that the backend server reported with this answer, or -1.
   int reported_free_slots = -1;
+  std::optional<LoadHeader> load;
+  // Time for which the backend server stays cold, when told.
+  std::optional<Duration> cold_left;
+  // The answer is an error of the backend server itself.
+  bool failed = false;
+  // Another backend server was found at the address.
+  bool other_backend = false;
 };
 
 // Load report of a backend server as it arrived, with its age.
@@ -116,6 +146,38 @@
   // An update of an incarnation that is known to leave never makes it live
   // again; a later incarnation does.
   Incarnation incarnation{};
+  // Hash of its name, the same on every node.
+  uint64_t key = 0;
+  // Receives no work for the time being, and may again later.
+  bool suspended = false;
+  // Until when it is cold and takes few requests.
+  TimePoint cold_until{};
+  // Requests a second that it takes while cold, from all nodes together.
+  double cold_rate = 0;
+};
+
+// The nodes that share the backend servers, as far as this one knows.
+struct PeerNodes {
+  // Hash of this node's name, and of those of all live nodes, this one
+  // included.
+  uint64_t self = 0;
+  std::vector<uint64_t> live;
+};
+
+// Where the choice follows the objects that requests are about.
+struct PlacementTuning {
+  bool enabled = false;
+  // Requests beyond its slots that a backend server may be given.
+  double backlog = 2;
+  // What a backend server in another failure domain, or another region, has to
+  // be better by.
+  Duration other_domain_cost{8'000};
+  Duration other_region_cost{60'000};
+  // Part of the gain of a warm object that the common order of the backend
+  // servers counts for when none is known to be warm.
+  double order_weight = 0.5;
+  // Longest share of its goal that a request may wait at the node.
+  double max_wait_share = 0.5;
 };
 
 // Parameters of the decisions; docs/TUNING.md says what each one trades.
@@ -159,6 +221,7 @@
   double long_factor = 8;
   // Share of slots for learned long work where no class sets one.
   double learned_long_share = 0.34;
+  PlacementTuning placement;
 };
 
 // What a dispatcher is created with. The rules may be empty at first.
@@ -223,6 +286,10 @@
   // Place of this node among the `count` live nodes of its failure domain.
   virtual void SetPeersInDomain(uint32_t rank, uint32_t count) = 0;
 
+  // Tells which nodes share the backend servers. Bounds that hold over all
+  // nodes are divided by them.
+  virtual void SetPeerNodes(const PeerNodes& peers) {}
+
   // Slots of a service in a failure domain that this node may use at once.
   virtual void SetSlotLimit(ServiceId service,
                             DomainId domain,
--- /dev/null
+++ b/src/cli/gateway_verb.cc
@@ -0,0 +1,103 @@
+#include <array>
+#include <csignal>
+#include <memory>
+#include <ostream>
+
+#include "comfreystand/event_loop.h"
+#include "comfreystand/limits.h"
+#include "comfreystand/log.h"
+#include "comfreystand/platform_gateway.h"
+#include "src/cli/files.h"
+#include "src/cli/logging.h"
+#include "src/cli/settings_report.h"
+#include "src/cli/verbs.h"
+
+namespace comfreystand::cli {
+namespace {
+
+using gateway::GatewaySettings;
+using platform::PlatformGateway;
+
+// Reads the settings again. What can change while the process runs is the log
+// level; a file with faults changes nothing.
+void Reload(const std::string& path, const Invocation& invocation) {
+  const auto text = ReadFile(path, limits::kMaxSettingsFileBytes, invocation);
+  const auto parsed = gateway::ParseGatewaySettings(text.value_or(""));
+  if (!parsed.settings.has_value()) {
+    LogStateChange("settings", "reload-refused",
+                   {{"problem", parsed.errors.front().message},
+                    {"key", parsed.errors.front().key}},
+                   LogLevel::kWarn);
+    return;
+  }
+  StartLogging(parsed.settings->log_level, parsed.settings->log_format);
+  LogStateChange("settings", "reloaded");
+}
+
+// Runs until SIGTERM or SIGINT asks for a graceful stop and it is done; a
+// second one stops at once.
+void RunUntilStopped(EventLoop* loop,
+                     PlatformGateway* gateway,
+                     const std::function<void()>& reload) {
+  auto signals = std::make_shared<int>(0);
+  for (const int number : {SIGTERM, SIGINT}) {
+    loop->OnSignal(number, [loop, gateway, signals] {
+      LogStateChange("gateway", "stopping");
+      if (++*signals > 1) {
+        loop->Stop();
+      } else {
+        gateway->BeginStop([loop] { loop->Stop(); });
+      }
+    });
+  }
+  loop->OnSignal(SIGHUP, reload);
+  loop->Run();
+}
+
+ExitCode RunGateway(const Invocation& invocation) {
+  const std::string& path = invocation.Arguments()[0];
+  const auto text = ReadFile(path, limits::kMaxSettingsFileBytes, invocation);
+  if (!text.has_value()) {
+    return ExitCode::kFailed;
+  }
+  const auto parsed = gateway::ParseGatewaySettings(*text);
+  if (!parsed.settings.has_value()) {
+    PrintSettingErrors(path, parsed.errors, invocation.Err());
+    return ExitCode::kInvalidInput;
+  }
+  const GatewaySettings& settings = *parsed.settings;
+  std::signal(SIGPIPE, SIG_IGN);
+  StartLogging(settings.log_level, settings.log_format);
+  EventLoop loop;
+  auto gateway = std::make_unique<PlatformGateway>(&loop, settings);
+  std::string error;
+  if (!gateway->Start(&error)) {
+    invocation.Err() << "comfreystand: " << error << '\n';
+    StopLogging();
+    return ExitCode::kFailed;
+  }
+  LogStateChange("gateway", "started", {{"name", settings.name}});
+  RunUntilStopped(&loop, gateway.get(),
+                  [&path, &invocation] { Reload(path, invocation); });
+  LogStateChange("gateway", "stopped", {{"name", settings.name}});
+  gateway.reset();
+  StopLogging();
+  return ExitCode::kOk;
+}
+
+constexpr std::array<Example, 1> kExamples = {
+    {{"comfreystand gateway /etc/comfreystand/gateway.ini",
+      "Runs an entry VM that follows the platform's store until SIGTERM."}}};
+
+}  // namespace
+
+constexpr Verb kGatewayVerb = {
+    .name = "gateway",
+    .arguments = "SETTINGS",
+    .min_arguments = 1,
+    .max_arguments = 1,
+    .summary = "Run an entry VM that follows the platform's store.",
+    .run = &RunGateway,
+    .examples = kExamples};
+
+}  // namespace comfreystand::cli
--- a/src/cli/logging.cc
+++ b/src/cli/logging.cc
@@ -76,7 +76,7 @@
   const auto layout =
       std::make_shared<log4cxx::PatternLayout>(std::string(pattern));
   const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-      layout, log4cxx::ConsoleAppender::getSystemErr());
+      layout, log4cxx::ConsoleAppender::getSystemOut());
   log4cxx::BasicConfigurator::configure(appender);
   const log4cxx::LoggerPtr logger = log4cxx::Logger::getRootLogger();
   logger->setLevel(ToLog4cxx(level));
--- a/src/cli/verbs.cc
+++ b/src/cli/verbs.cc
@@ -5,12 +5,22 @@
 namespace comfreystand::cli {
 namespace {
 
-constexpr std::array kVerbs = {
-    &kNodeVerb,         &kRulesBootstrapVerb, &kRulesCheckVerb,
-    &kRulesDiffVerb,    &kRulesProposeVerb,   &kRulesShowVerb,
-    &kRulesHistoryVerb, &kRulesAuditVerb,     &kDrainVerb,
-    &kStatusVerb,       &kSettingsCheckVerb,  &kSettingsDescribeVerb,
-    &kLookupVerb,       &kLoadVerb,           &kBenchVerb};
+constexpr std::array kVerbs = {&kNodeVerb,
+                               &kGatewayVerb,
+                               &kRulesBootstrapVerb,
+                               &kRulesCheckVerb,
+                               &kRulesDiffVerb,
+                               &kRulesProposeVerb,
+                               &kRulesShowVerb,
+                               &kRulesHistoryVerb,
+                               &kRulesAuditVerb,
+                               &kDrainVerb,
+                               &kStatusVerb,
+                               &kSettingsCheckVerb,
+                               &kSettingsDescribeVerb,
+                               &kLookupVerb,
+                               &kLoadVerb,
+                               &kBenchVerb};
 
 }  // namespace
 
--- a/src/edge/attempt.cc
+++ b/src/edge/attempt.cc
@@ -10,12 +10,6 @@
 
 using steer::AttemptEvent;
 
-constexpr int kServiceUnavailable = 503;
-
-bool IsValue(const std::string* value, std::string_view expected) {
-  return value && *value == expected;
-}
-
 bool IsFinal(AttemptEvent event) {
   return event != AttemptEvent::kWritten &&
          event != AttemptEvent::kAnswerStarted;
@@ -25,10 +19,14 @@
 
 Attempt::Attempt(event_base* base,
                  Identity identity,
+                 AttemptFacts facts,
+                 const RelayProtocol* protocol,
                  size_t max_answer_bytes,
                  Duration cancel_timeout,
                  AttemptHost* host)
-    : identity_(std::move(identity)),
+    : identity_(identity),
+      facts_(std::move(facts)),
+      protocol_(protocol),
       max_answer_bytes_(max_answer_bytes),
       cancel_timeout_(cancel_timeout),
       host_(host),
@@ -92,8 +90,12 @@
   steer::AttemptReport report;
   report.event = event;
   report.silent = silent;
-  report.leaving = leaving_;
-  report.reported_free_slots = reported_free_slots_;
+  report.leaving = answer_.leaving;
+  report.reported_free_slots = answer_.free_slots;
+  report.load = answer_.load;
+  report.cold_left = answer_.cold_left;
+  report.failed = answer_.failed;
+  report.other_backend = answer_.kind == AnswerFacts::Kind::kOtherBackend;
   host_->Report(this, report);
 }
 
@@ -106,24 +108,20 @@
   host_->OnAttemptDrained(this);
 }
 
-bool Attempt::IsRefusal(const AnswerHead& head) const {
-  return head.status == kServiceUnavailable &&
-         IsValue(head.Find(kStartedHeader), "no");
-}
-
-void Attempt::ReadFacts(const AnswerHead& head) {
-  leaving_ = IsValue(head.Find(kLeavingHeader), "yes");
-  if (const std::string* slots = head.Find(kFreeSlotsHeader)) {
-    int value = -1;
-    std::from_chars(slots->data(), slots->data() + slots->size(), value);
-    reported_free_slots_ = value;
-  }
+bool Attempt::IsOwnAnswer(const AnswerHead& head) {
+  return protocol_->ReadAnswer(head, facts_).kind !=
+         AnswerFacts::Kind::kForeign;
 }
 
 void Attempt::OnAnswerHead(AnswerHead head) {
   head_ = std::move(head);
-  ReadFacts(head_);
-  refused_ = IsRefusal(head_);
+  answer_ = protocol_->ReadAnswer(head_, facts_);
+  if (answer_.kind == AnswerFacts::Kind::kInvalid) {
+    connection_->Close();
+    return;
+  }
+  refused_ = answer_.kind == AnswerFacts::Kind::kNotRun ||
+             answer_.kind == AnswerFacts::Kind::kOtherBackend;
   if (cancelling_) {
     // The answer to the cancellation decides, unless this one is clear.
     if (refused_) {
@@ -141,7 +139,16 @@
     return;
   }
   head_arrived_ = true;
-  ReportOnce(AttemptEvent::kAnswerStarted);
+  if (protocol_->HeldAnswerBytes() == 0) {
+    ReportStarted();
+  }
+}
+
+void Attempt::ReportStarted() {
+  if (!started_reported_) {
+    started_reported_ = true;
+    ReportOnce(AttemptEvent::kAnswerStarted);
+  }
 }
 
 void Attempt::OnAnswerBody(const char* data, size_t size) {
@@ -157,7 +164,13 @@
   evbuffer_add(pending_.get(), data, size);
   if (sink_) {
     HandOver();
-  } else if (evbuffer_get_length(pending_.get()) > limits::kRelayBufferBytes) {
+    return;
+  }
+  const size_t waiting = evbuffer_get_length(pending_.get());
+  if (waiting > protocol_->HeldAnswerBytes()) {
+    ReportStarted();
+  }
+  if (waiting > limits::kRelayBufferBytes) {
     connection_->PauseReading();
   }
 }
@@ -183,6 +196,8 @@
   }
   connection_ = nullptr;
   truncated_ = true;
+  // An answer that was still held is none.
+  head_arrived_ = started_reported_;
   event_del(timer_.get());
   if (written) {
     ReportOnce(AttemptEvent::kBroken, failure == ExchangeFailure::kSilent);
@@ -250,7 +265,7 @@
     return;
   }
   cancelling_ = true;
-  if (!written_ || head_arrived_) {
+  if (!written_ || head_arrived_ || !protocol_->CancelsByCall()) {
     connection_->Close();
     return;
   }
--- a/src/edge/attempt.h
+++ b/src/edge/attempt.h
@@ -47,12 +47,12 @@
     AttemptHandle handle;
     RequestHandle request;
     BackendId backend;
-    // Name that the backend server knows the attempt by.
-    std::string name;
   };
 
   Attempt(event_base* base,
           Identity identity,
+          AttemptFacts facts,
+          const RelayProtocol* protocol,
           size_t max_answer_bytes,
           Duration cancel_timeout,
           AttemptHost* host);
@@ -74,11 +74,13 @@
   void OnCancelAnswer(bool answered, bool not_started, bool unknown);
 
   const Identity& identity() const { return identity_; }
+  const AttemptFacts& facts() const { return facts_; }
   bool over() const { return over_; }
   bool head_arrived() const { return head_arrived_; }
 
   void OnFirstByteWritten() override;
   void OnWriteDrained() override;
+  bool IsOwnAnswer(const AnswerHead& head) override;
   void OnAnswerHead(AnswerHead head) override;
   void OnAnswerBody(const char* data, size_t size) override;
   void OnAnswerComplete() override;
@@ -86,14 +88,16 @@
 
  private:
   void ReportOnce(steer::AttemptEvent event, bool silent = false);
-  bool IsRefusal(const AnswerHead& head) const;
-  void ReadFacts(const AnswerHead& head);
+  // Reports an answer that has begun and is not held any longer.
+  void ReportStarted();
   void OnTimer();
   void SetTimer(Duration delay);
   void EndIfDone();
   void HandOver();
 
   const Identity identity_;
+  const AttemptFacts facts_;
+  const RelayProtocol* const protocol_;
   const size_t max_answer_bytes_;
   const Duration cancel_timeout_;
   AttemptHost* const host_;
@@ -103,13 +107,13 @@
   BufferPtr pending_ = NewBuffer();
   EventPtr timer_;
   uint64_t body_bytes_ = 0;
-  int reported_free_slots_ = -1;
-  bool leaving_ = false;
+  AnswerFacts answer_;
   bool written_ = false;
   bool head_arrived_ = false;
   bool complete_ = false;
   bool truncated_ = false;
   bool refused_ = false;
+  bool started_reported_ = false;
   bool cancelling_ = false;
   bool discarded_ = false;
   // The final event of the attempt was reported.
--- a/src/edge/backend_pool.cc
+++ b/src/edge/backend_pool.cc
@@ -5,9 +5,15 @@
 
 namespace comfreystand::edge {
 
-BackendPool::BackendPool(event_base* base, const ServerInit& init, Stats* stats)
+BackendPool::BackendPool(event_base* base,
+                         const Clock* clock,
+                         const ServerInit& init,
+                         Stats* stats)
     : base_(base),
-      timeouts_{init.connect_timeout, init.backend_timeout},
+      clock_(clock),
+      idle_limit_(init.backend_idle),
+      timeouts_{init.connect_timeout, init.backend_timeout,
+                init.unacknowledged_timeout},
       max_connections_(init.max_backend_connections),
       stats_(stats),
       sweep_(event_new(
@@ -30,12 +36,14 @@
       continue;
     }
     const auto old = backends_.find(entry.id);
-    if (old != backends_.end() && old->second.address == entry.address) {
+    if (old != backends_.end() && old->second.address == entry.address &&
+        old->second.name == entry.name) {
       backend.open = old->second.open;
       backend.idle = std::move(old->second.idle);
       old->second.idle.clear();
     }
     backend.address = entry.address;
+    backend.name = entry.name;
     backend.max_connections = entry.max_connections;
     next.emplace(entry.id, std::move(backend));
     ids_.push_back(entry.id);
@@ -49,6 +57,11 @@
   }
 }
 
+std::string BackendPool::NameOf(BackendId backend) const {
+  const auto found = backends_.find(backend);
+  return found == backends_.end() ? std::string() : found->second.name;
+}
+
 bool BackendPool::InUse(BackendId backend) const {
   const auto found = backends_.find(backend);
   return found != backends_.end() && found->second.open > 0;
@@ -60,9 +73,13 @@
     return nullptr;
   }
   Backend& backend = found->second;
-  if (!backend.idle.empty()) {
+  while (!backend.idle.empty()) {
     HttpConnection* connection = backend.idle.back();
     backend.idle.pop_back();
+    if (IsStale(connection)) {
+      connection->Close();
+      continue;
+    }
     ++stats_->connections_reused;
     return connection;
   }
@@ -85,10 +102,18 @@
   ++backend->open;
   HttpConnection* raw = connection.get();
   slots_.emplace(
-      raw, Slot{std::move(connection), id, backend->address, next_serial_++});
+      raw,
+      Slot{std::move(connection), id, backend->address, next_serial_++, {}});
   return raw;
 }
 
+bool BackendPool::IsStale(const HttpConnection* connection) const {
+  const Duration told = connection->idle_limit();
+  const Duration limit =
+      told.count() > 0 ? told - limits::kBackendIdleMargin : idle_limit_;
+  return clock_->Now() - slots_.at(connection).idle_since >= limit;
+}
+
 bool BackendPool::CloseOneIdle() {
   for (auto& [id, backend] : backends_) {
     if (!backend.idle.empty()) {
@@ -140,6 +165,7 @@
     connection->Close();
     return;
   }
+  slots_.at(connection).idle_since = clock_->Now();
   const auto newer = std::find_if(
       backend->idle.begin(), backend->idle.end(),
       [this, serial = slots_.at(connection).serial](HttpConnection* other) {
--- a/src/edge/backend_pool.h
+++ b/src/edge/backend_pool.h
@@ -15,7 +15,10 @@
 // backend server and over all.
 class BackendPool final : public ConnectionOwner {
  public:
-  BackendPool(event_base* base, const ServerInit& init, Stats* stats);
+  BackendPool(event_base* base,
+              const Clock* clock,
+              const ServerInit& init,
+              Stats* stats);
   ~BackendPool() override;
   BackendPool(const BackendPool&) = delete;
   BackendPool& operator=(const BackendPool&) = delete;
@@ -23,6 +26,9 @@
   void SetBackends(const std::vector<BackendAddress>& backends);
   const std::vector<BackendId>& backends() const { return ids_; }
 
+  // Name that the backend server knows itself by; empty when unknown.
+  std::string NameOf(BackendId backend) const;
+
   // Whether a connection to the backend server is open or being made.
   bool InUse(BackendId backend) const;
 
@@ -44,6 +50,7 @@
  private:
   struct Backend {
     std::string address;
+    std::string name;
     sockaddr_in socket_address{};
     int max_connections = 0;
     int open = 0;
@@ -57,15 +64,20 @@
     std::string address;
     // Order in which the connections were opened.
     uint64_t serial = 0;
+    TimePoint idle_since{};
   };
 
   HttpConnection* Open(BackendId id, Backend* backend);
+  // Whether the other end may be about to close the idle connection.
+  bool IsStale(const HttpConnection* connection) const;
   // Closes the oldest idle connection of some backend server.
   bool CloseOneIdle();
   // The backend server that a connection leads to, if it is still listed.
   Backend* Find(const Slot& slot);
 
   event_base* const base_;
+  const Clock* const clock_;
+  const Duration idle_limit_;
   const HttpConnection::Timeouts timeouts_;
   const int max_connections_;
   Stats* const stats_;
--- a/src/edge/http_connection.cc
+++ b/src/edge/http_connection.cc
@@ -45,15 +45,6 @@
 
 }  // namespace
 
-const std::string* AnswerHead::Find(std::string_view name) const {
-  for (const HeaderField& field : headers) {
-    if (EqualNames(field.name, name)) {
-      return &field.value;
-    }
-  }
-  return nullptr;
-}
-
 bool ParseAddress(const std::string& text, sockaddr_in* address) {
   const size_t colon = text.rfind(':');
   if (colon == std::string::npos) {
@@ -171,6 +162,7 @@
   keep_alive_ = true;
   chunked_ = false;
   bad_framing_ = false;
+  skipping_ = false;
 }
 
 void HttpConnection::SetProgressTimeout(bool enabled) {
@@ -187,7 +179,7 @@
     // Unacknowledged bytes break the connection as soon as silence does.
     const unsigned int millis = static_cast<unsigned int>(
         std::chrono::duration_cast<std::chrono::milliseconds>(
-            timeouts_.progress)
+            timeouts_.unacknowledged)
             .count());
     setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof(millis));
     SetProgressTimeout(exchange_ != nullptr);
@@ -278,6 +270,11 @@
     Fail(ExchangeFailure::kClosed);
     return false;
   }
+  if (complete_ && skipping_) {
+    evbuffer_drain(input, parsed);
+    ResetAnswer();
+    return true;
+  }
   if (complete_) {
     evbuffer_drain(input, parsed);
     keep_alive_ = keep_alive_ && evbuffer_get_length(input) == 0;
@@ -318,7 +315,9 @@
       return Self(parser)->OnHeadComplete();
     };
     hooks.body = [](htparser* parser, const char* data, size_t size) {
-      Self(parser)->exchange_->OnAnswerBody(data, size);
+      if (!Self(parser)->skipping_) {
+        Self(parser)->exchange_->OnAnswerBody(data, size);
+      }
       return Self(parser)->close_after_parsing_ ? -1 : 0;
     };
     hooks.on_msg_complete = [](htparser* parser) {
@@ -329,6 +328,19 @@
   return kHooks;
 }
 
+void HttpConnection::ReadIdleLimit() {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::string* value = head_.Find("Keep-Alive");
+  const size_t at = value ? value->find(kTimeout) : std::string::npos;
+  if (at == std::string::npos) {
+    return;
+  }
+  int64_t seconds = 0;
+  std::from_chars(value->data() + at + kTimeout.size(),
+                  value->data() + value->size(), seconds);
+  idle_limit_ = std::chrono::seconds(seconds);
+}
+
 int HttpConnection::OnHeadComplete() {
   head_.status = static_cast<int>(htparser_get_status(parser_.get()));
   int lengths = 0;
@@ -357,6 +369,14 @@
                   head_.status == kNotModified;
   until_close_ = !head_.no_body && !chunked_ && head_.content_length < 0;
   const bool no_body = head_.no_body;
+  if (!exchange_->IsOwnAnswer(head_)) {
+    skipping_ = true;
+    // Without a length nobody can tell where the own answer begins.
+    bad_framing_ = until_close_ || !keep_alive_;
+    complete_ = no_body;
+    return bad_framing_ || complete_ ? -1 : 0;
+  }
+  ReadIdleLimit();
   exchange_->OnAnswerHead(std::move(head_));
   if (close_after_parsing_) {
     return -1;
@@ -375,7 +395,7 @@
   Exchange* exchange = exchange_;
   // An answer that came before the whole request was sent leaves a
   // connection in the middle of a message.
-  const bool reusable = keep_alive_ && UnwrittenBytes() == 0;
+  const bool reusable = keep_alive_ && request_ended_ && UnwrittenBytes() == 0;
   exchange_ = nullptr;
   SetProgressTimeout(false);
   exchange->OnAnswerComplete();
--- a/src/edge/http_connection.h
+++ b/src/edge/http_connection.h
@@ -12,28 +12,11 @@
 #include <vector>
 
 #include "comfreystand/base.h"
+#include "comfreystand/relay_protocol.h"
 #include "src/edge/event_handles.h"
 
 namespace comfreystand::edge {
 
-struct HeaderField {
-  std::string name;
-  std::string value;
-};
-
-// Status line and headers of an answer.
-struct AnswerHead {
-  int status = 0;
-  std::vector<HeaderField> headers;
-  // Bytes of the body, or -1 when the head does not tell.
-  int64_t content_length = -1;
-  // The answer to this request carries no body, whatever its headers say.
-  bool no_body = false;
-
-  // Value of a header by its name without regard to case, or nothing.
-  const std::string* Find(std::string_view name) const;
-};
-
 // Why an exchange ended without a whole answer.
 enum class ExchangeFailure : uint8_t {
   kConnectFailed,
@@ -54,6 +37,8 @@
   virtual void OnFirstByteWritten() = 0;
   // Everything written so far was handed to the socket.
   virtual void OnWriteDrained() {}
+  // Whether an answer belongs to this exchange; one that does not is skipped.
+  virtual bool IsOwnAnswer(const AnswerHead& head) { return true; }
   virtual void OnAnswerHead(AnswerHead head) = 0;
   virtual void OnAnswerBody(const char* data, size_t size) = 0;
   // Last call of a successful exchange.
@@ -85,6 +70,8 @@
   struct Timeouts {
     Duration connect;
     Duration progress;
+    // Bytes that the other end has not acknowledged break the connection.
+    Duration unacknowledged;
   };
 
   HttpConnection(event_base* base,
@@ -118,6 +105,9 @@
   bool IsIdle() const { return state_ == State::kOpen && !exchange_; }
   bool IsClosed() const { return state_ == State::kClosed; }
   bool connected() const { return state_ == State::kOpen; }
+  // Until when the other end keeps the connection without a request; zero when
+  // it has not told.
+  Duration idle_limit() const { return idle_limit_; }
   // Whether any byte of an answer to the current exchange has arrived.
   bool answer_begun() const { return answer_begun_; }
   // "a.b.c.d:port" of the other end.
@@ -134,6 +124,7 @@
   // Feeds the parser with the first piece of `input`.
   bool ParseSome(evbuffer* input);
   bool PassUntilClose(evbuffer* input);
+  void ReadIdleLimit();
   int OnHeadComplete();
   int OnMessageComplete();
   void FinishExchange();
@@ -165,6 +156,9 @@
   bool keep_alive_ = true;
   bool chunked_ = false;
   bool bad_framing_ = false;
+  // The answer being read belongs to an earlier request.
+  bool skipping_ = false;
+  Duration idle_limit_{0};
   AnswerHead head_;
 };
 
--- /dev/null
+++ b/src/edge/own_protocol.h
@@ -0,0 +1,61 @@
+#ifndef COMFREYSTAND_SRC_EDGE_OWN_PROTOCOL_H_
+#define COMFREYSTAND_SRC_EDGE_OWN_PROTOCOL_H_
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "comfreystand/edge.h"
+
+namespace comfreystand::edge {
+
+// The headers of the product's own interface: requests to
+// "/v1/s/SERVICE/PATH", with a class and a deadline, answered with a verdict.
+class OwnProtocol final : public RelayProtocol {
+ public:
+  OwnProtocol(Duration max_deadline, size_t max_body_bytes)
+      : max_deadline_(max_deadline), max_body_bytes_(max_body_bytes) {}
+
+  void SetTables(std::vector<ServiceName> services,
+                 std::vector<ClassName> classes) {
+    services_ = std::move(services);
+    classes_ = std::move(classes);
+  }
+
+  bool ReadRequest(const RequestHead& head,
+                   TimePoint now,
+                   RelayRequest* out,
+                   Refusal* refusal) const override;
+  std::string FormatRefusal(const Refusal& refusal,
+                            const RelayRequest* request,
+                            bool keep_alive) const override;
+  Refusal RefusalFor(const steer::Action& action) const override;
+  bool ForwardsAnswerHeader(std::string_view name) const override;
+  void AppendAnswerLines(RunVerdict verdict, std::string* head) const override;
+  void AppendAttemptLines(const RelayRequest& request,
+                          const AttemptFacts& attempt,
+                          std::string* head) const override;
+  AnswerFacts ReadAnswer(const AnswerHead& head,
+                         const AttemptFacts& attempt) const override;
+  bool CancelsByCall() const override { return true; }
+  size_t HeldAnswerBytes() const override { return 0; }
+
+ private:
+  bool ReadTarget(const RequestHead& head, RelayRequest* out) const;
+  bool ReadClass(const RequestHead& head,
+                 RelayRequest* out,
+                 Duration* default_deadline) const;
+  bool ReadDeadline(const RequestHead& head,
+                    Duration default_deadline,
+                    RelayRequest* out,
+                    Refusal* refusal) const;
+
+  const Duration max_deadline_;
+  const size_t max_body_bytes_;
+  std::vector<ServiceName> services_;
+  std::vector<ClassName> classes_;
+};
+
+}  // namespace comfreystand::edge
+
+#endif  // COMFREYSTAND_SRC_EDGE_OWN_PROTOCOL_H_
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -1,13 +1,12 @@
 #ifndef COMFREYSTAND_SRC_EDGE_RELAY_H_
 #define COMFREYSTAND_SRC_EDGE_RELAY_H_
 
-#include <evhtp/evhtp.h>
-
 #include <string>
 #include <vector>
 
+#include "comfreystand/edge.h"
 #include "src/edge/attempt.h"
-#include "src/edge/relay_request.h"
+#include "src/edge/caller_connection.h"
 
 namespace comfreystand::edge {
 
@@ -23,19 +22,13 @@
   virtual void OnRelayAborted(Relay* relay) = 0;
   // The caller's connection let go of the request: the relay is to be
   // destroyed, from the top of the loop.
-  virtual void OnRelayReleased(Relay* relay, evhtp_connection_t* conn) = 0;
-  // Has reading from the caller enabled once its parser has returned.
-  virtual void ReadOnSoon(Relay* relay) = 0;
-  // A request was answered from inside the parser.
-  virtual void YieldToPipelined(evhtp_request_t* request) = 0;
-  // Keeps the socket for a moment after the connection is closed.
-  virtual void LingerOn(const evhtp_connection_t* conn) = 0;
+  virtual void OnRelayReleased(Relay* relay) = 0;
   virtual void CountFault(Fault fault) = 0;
 };
 
 // One request of a caller, from its head to the last byte of its answer. Lives
-// as long as libevhtp's request object.
-class Relay final : public AnswerSink {
+// until the caller's connection lets go of the request.
+class Relay final : public AnswerSink, public RequestReader {
  public:
   enum class State : uint8_t {
     // No answer has begun.
@@ -46,7 +39,11 @@
     kFinished,
   };
 
-  Relay(evhtp_request_t* request, const ServerInit& init, RelayHost* host);
+  Relay(CallerConnection* connection,
+        Reply* reply,
+        const ServerInit& init,
+        const RelayProtocol* protocol,
+        RelayHost* host);
 
   RelayRequest& spec() { return spec_; }
   State state() const { return state_; }
@@ -54,7 +51,7 @@
   void set_handle(RequestHandle handle) { handle_ = handle; }
 
   // Has the caller's connection closed after the answer.
-  void CloseAfterAnswer() { close_after_answer_ = true; }
+  void CloseAfterAnswer();
 
   // Has the request refused once its body has arrived.
   void RefuseWhenRead(const Refusal& refusal);
@@ -62,7 +59,7 @@
   void Refuse(const Refusal& refusal);
 
   // Sends the request as `attempt`.
-  void Feed(Attempt* attempt, HttpConnection* connection, Duration time_left);
+  void Feed(Attempt* attempt, HttpConnection* connection);
   void ForgetAttempt(Attempt* attempt);
   // Drops what the attempts have or will have answered.
   void DiscardAttempts();
@@ -70,47 +67,43 @@
   void Deliver(Attempt* attempt);
   // An attempt handed its bytes to the backend server.
   void OnAttemptDrained();
-  // The caller's connection sent all it had.
-  void OnCallerDrained();
-  void EnableReading();
 
-  // Hooks of libevhtp.
-  void OnBodyPart(evbuffer* data);
-  void OnMessageComplete();
-  void OnReleased();
+  // RequestReader:
+  void OnRequestBody(evbuffer* data) override;
+  void OnRequestComplete() override;
+  void OnReplyDrained() override;
+  void OnCallerGone() override;
+  void OnReplyDone() override;
 
+  // AnswerSink:
   void OnHead(const AnswerHead& head) override;
   void OnBody(evbuffer* data) override;
   void OnEnd() override;
   void OnTruncated() override;
 
  private:
-  // Settles whether the connection outlives the answer.
-  bool KeepAlive();
-  void FinishReply();
   void SendHeldBody(Attempt* attempt);
   void WritePart(Attempt* attempt, evbuffer* part);
-  std::string RequestHead(const Attempt& attempt,
-                          const HttpConnection* connection,
-                          Duration time_left) const;
+  std::string RequestHeadText(const Attempt& attempt,
+                              const HttpConnection* connection) const;
   std::string AnswerHeadText(const AnswerHead& head);
   void HoldBackCaller();
 
-  evhtp_request_t* request_;
+  // Null once the connection has let go of the request.
+  CallerConnection* connection_;
+  Reply* reply_;
   const ServerInit& init_;
+  const RelayProtocol* const protocol_;
   RelayHost* const host_;
   RelayRequest spec_;
   State state_ = State::kPending;
   RequestHandle handle_;
   // Body as far as it is kept for further attempts.
   BufferPtr body_ = NewBuffer();
-  uint64_t body_received_ = 0;
   bool body_complete_ = false;
   // Part of the body was given away and can't be sent again.
   bool body_spent_ = false;
-  bool reading_paused_ = false;
   bool refuse_when_read_ = false;
-  bool close_after_answer_ = false;
   Refusal refusal_;
   std::vector<Attempt*> feeds_;
   Attempt* delivering_ = nullptr;
--- a/src/edge/server.cc
+++ b/src/edge/server.cc
@@ -4,24 +4,6 @@
 #include "src/edge/server_impl.h"
 
 namespace comfreystand::edge {
-namespace {
-
-// Indexed by Fault.
-constexpr std::array<std::string_view, static_cast<size_t>(Fault::kCount)>
-    kFaultNames = {
-        "malformed",        "headers_too_large", "body_too_large",
-        "unknown_service",  "unknown_path",      "bad_header_value",
-        "deadline_passed",  "ticket_missing",    "ticket_refused",
-        "too_many_callers", "caller_timeout",    "caller_reset",
-        "answer_truncated", "answer_too_large",
-};
-
-}  // namespace
-
-std::string_view ToString(Fault fault) {
-  return kFaultNames[static_cast<size_t>(fault)];
-}
-
 std::unique_ptr<Server> Server::Create(event_base* base,
                                        const Clock* clock,
                                        ServerInit init,
@@ -58,6 +40,10 @@
   impl_->SetTables(std::move(services), std::move(classes));
 }
 
+void Server::SetCallerBounds(const CallerLimits& bounds) {
+  impl_->SetCallerBounds(bounds);
+}
+
 void Server::SetDrainState(DrainState state) {
   impl_->SetDrainState(state);
 }
--- a/src/edge/server_actions.cc
+++ b/src/edge/server_actions.cc
@@ -42,10 +42,7 @@
 void Server::Impl::HandleDeferred() {
   released_relays_.clear();
   over_attempts_.clear();
-  ResumeCallers();
-  for (Relay* relay : std::exchange(read_on_, {})) {
-    relay->EnableReading();
-  }
+  closed_callers_.clear();
 }
 
 void Server::Impl::SetWakeup(TimePoint now) {
@@ -69,23 +66,28 @@
 }
 
 void Server::Impl::OnStartAttempt(const steer::Action& action) {
-  Attempt::Identity identity = {
-      action.attempt, action.request, action.backend,
-      attempt_prefix_ + std::to_string(action.attempt.value)};
-  auto owned = std::make_unique<Attempt>(base_, std::move(identity),
-                                         init_.max_answer_body_bytes,
-                                         init_.cancel_timeout, this);
+  Relay* relay = FindRelay(action.request);
+  const TimePoint now = clock_->Now();
+  AttemptFacts facts;
+  facts.name = attempt_prefix_ + std::to_string(action.attempt.value);
+  facts.backend_name = pool_.NameOf(action.backend);
+  facts.time_left = action.deadline - now;
+  if (relay) {
+    facts.request_id = relay->spec().request_id;
+  }
+  auto owned = std::make_unique<Attempt>(
+      base_, Attempt::Identity{action.attempt, action.request, action.backend},
+      std::move(facts), protocol_, init_.max_answer_body_bytes,
+      init_.cancel_timeout, this);
   Attempt* attempt = owned.get();
   attempts_[action.attempt] = std::move(owned);
   ++stats_.attempts;
-  Relay* relay = FindRelay(action.request);
   if (!relay || relay->state() != Relay::State::kPending) {
     attempt->Discard();
     attempt->Start(nullptr, nullptr, false);
     return;
   }
-  relay->Feed(attempt, pool_.Acquire(action.backend),
-              action.deadline - clock_->Now());
+  relay->Feed(attempt, pool_.Acquire(action.backend));
 }
 
 void Server::Impl::OnCancelAttempt(const steer::Action& action) {
@@ -99,7 +101,7 @@
   ++stats_.rejects[static_cast<size_t>(action.reason)];
   Relay* relay = FindRelay(action.request);
   if (relay) {
-    relay->Refuse(RefusalFor(action));
+    relay->Refuse(protocol_->RefusalFor(action));
   }
 }
 
@@ -198,7 +200,7 @@
         DropSideCall(self);
       });
   call->Start(pool_.Acquire(attempt->identity().backend), "DELETE",
-              "/cancel/" + attempt->identity().name);
+              "/cancel/" + attempt->facts().name);
 }
 
 void Server::Impl::OnSilent(const HttpConnection* connection) {
@@ -245,27 +247,12 @@
   }
 }
 
-void Server::Impl::OnRelayReleased(Relay* relay, evhtp_connection_t* conn) {
-  // A closing connection is forgotten before its request is released.
-  const auto caller = callers_.find(conn);
-  if (caller != callers_.end()) {
-    caller->second.relay = nullptr;
-  }
+void Server::Impl::OnRelayReleased(Relay* relay) {
   auto node = relays_.extract(relay);
-  std::erase(read_on_, relay);
   released_relays_.push_back(std::move(node.mapped()));
   Poke();
 }
 
-void Server::Impl::ReadOnSoon(Relay* relay) {
-  read_on_.push_back(relay);
-  Poke();
-}
-
-void Server::Impl::LingerOn(const evhtp_connection_t* conn) {
-  lingering_.Adopt(conn->sock);
-}
-
 void Server::Impl::CountFault(Fault fault) {
   ++stats_.faults[static_cast<size_t>(fault)];
 }
@@ -280,8 +267,7 @@
 
 void Server::Impl::SetTables(std::vector<ServiceName> services,
                              std::vector<ClassName> classes) {
-  tables_.services = std::move(services);
-  tables_.classes = std::move(classes);
+  own_protocol_.SetTables(std::move(services), std::move(classes));
 }
 
 Caps Server::Impl::GetCaps() const {
--- a/src/edge/server_listen.cc
+++ b/src/edge/server_listen.cc
@@ -1,5 +1,4 @@
 #include <netinet/in.h>
-#include <strings.h>
 #include <sys/socket.h>
 
 #include <csignal>
@@ -14,27 +13,13 @@
 namespace {
 
 constexpr int kBacklog = 1'024;
-constexpr size_t kUnparsedBytes = size_t{16} << 10;
+constexpr std::string_view kRelayPrefix = "/v1/s/";
 
 std::string RandomPrefix() {
   std::random_device source;
   return std::to_string(source()) + "-" + std::to_string(source()) + "-";
 }
 
-// libevhtp declares hooks as functions of any arguments.
-template <typename Function>
-evhtp_hook ToHook(Function* function) {
-  return reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(function));
-}
-
-// Whether the last header that the parser came to is the body's length. It
-// calls a bad one too big, as it does headers.
-bool StoppedAtLength(const evhtp_request_t* request) {
-  const evhtp_kv_t* last =
-      request ? TAILQ_LAST(request->headers_in, evhtp_kvs) : nullptr;
-  return last && strcasecmp(last->key, "Content-Length") == 0;
-}
-
 }  // namespace
 
 Server::Impl::Impl(event_base* base,
@@ -49,11 +34,11 @@
       lookup_(lookup),
       dispatcher_(dispatcher),
       tickets_(tickets),
+      own_protocol_(init_.max_deadline, init_.max_request_body_bytes),
+      protocol_(init_.protocol ? init_.protocol : &own_protocol_),
       attempt_prefix_(RandomPrefix()),
-      lingering_(base),
-      pool_(base, init_, &stats_) {
-  tables_ = {init_.services, init_.classes, init_.max_deadline,
-             init_.max_request_body_bytes};
+      pool_(base, clock, init_, &stats_) {
+  own_protocol_.SetTables(init_.services, init_.classes);
   lookup_reply_.SetSites(init_.sites);
   pool_.SetBackends(init_.backends);
   const auto pump = [](evutil_socket_t, short, void* self) {
@@ -70,13 +55,10 @@
 }
 
 Server::Impl::~Impl() {
-  // Frees the listener; connections of callers are freed with their relays.
-  if (htp_) {
-    evhtp_unbind_socket(htp_);
-    while (!callers_.empty()) {
-      evhtp_connection_free(callers_.begin()->first);
-    }
-    evhtp_free(htp_);
+  listener_.reset();
+  // Relays hear of the end of their connection while all else still stands.
+  while (!callers_.empty()) {
+    callers_.begin()->second->Break();
   }
 }
 
@@ -88,30 +70,19 @@
   }
   // Writes to connections that the peer closed report an error instead.
   std::signal(SIGPIPE, SIG_IGN);
-  htp_ = evhtp_new(base_, this);
-  evhtp_enable_flag(htp_, EVHTP_FLAG_ENABLE_NODELAY);
-  const timeval timeout = ToTimeval(init_.caller_timeout);
-  evhtp_set_timeouts(htp_, &timeout, &timeout);
-  evhtp_set_post_accept_cb(htp_, &Impl::OnAccept, this);
-  Route<&Impl::AnswerLookup>("/v1/lookup");
-  Route<&Impl::AnswerTicket>("/v1/ticket");
-  evhtp_callback_t* relay = evhtp_set_glob_cb(
-      htp_, "/v1/s/*", [](evhtp_request_t*, void*) {}, this);
-  evhtp_callback_set_hook(relay, evhtp_hook_on_headers,
-                          ToHook(&Impl::OnRelayHeaders), this);
-  evhtp_set_gencb(
-      htp_,
-      [](evhtp_request_t* request, void* self) {
-        static_cast<Impl*>(self)->AnswerUnknown(request);
-      },
-      this);
-  if (evhtp_bind_sockaddr(htp_, reinterpret_cast<sockaddr*>(&address),
-                          sizeof(address), kBacklog) != 0) {
+  const auto accept = [](evconnlistener*, evutil_socket_t fd, sockaddr* from,
+                         int, void* self) {
+    static_cast<Impl*>(self)->OnAccept(fd, from);
+  };
+  listener_.reset(evconnlistener_new_bind(
+      base_, accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, kBacklog,
+      reinterpret_cast<sockaddr*>(&address), sizeof(address)));
+  if (!listener_) {
     *error = "can't listen on " + init_.listen_address;
     return false;
   }
   socklen_t size = sizeof(address);
-  getsockname(evconnlistener_get_fd(htp_->server),
+  getsockname(evconnlistener_get_fd(listener_.get()),
               reinterpret_cast<sockaddr*>(&address), &size);
   port_ = ntohs(address.sin_port);
   if (init_.load_poll_interval > Duration::zero()) {
@@ -122,165 +93,107 @@
   return true;
 }
 
-template <Server::Impl::Handler handler>
-void Server::Impl::Route(const char* path) {
-  evhtp_set_cb(
-      htp_, path,
-      [](evhtp_request_t* request, void* self) {
-        (static_cast<Impl*>(self)->*handler)(request);
-      },
-      this);
-}
-
-evhtp_res Server::Impl::OnAccept(evhtp_connection_t* conn, void* self) {
-  auto* server = static_cast<Impl*>(self);
-  if (server->stats_.caller_connections >= server->init_.max_callers) {
-    server->CountFault(Fault::kTooManyCallers);
-    return EVHTP_RES_ERROR;
-  }
-  ++server->stats_.caller_connections;
-  Caller* caller = &server->callers_[conn];
-  caller->server = server;
-  // Bounds what is read while a request is under way.
-  bufferevent_setwatermark(conn->bev, EV_READ, 0, kUnparsedBytes);
-  evhtp_connection_set_hook(conn, evhtp_hook_on_path, ToHook(&OnPath), caller);
-  evhtp_connection_set_hook(conn, evhtp_hook_on_header, ToHook(&OnHeader),
-                            caller);
-  evhtp_connection_set_hook(conn, evhtp_hook_on_event, ToHook(&OnEvent),
-                            caller);
-  evhtp_connection_set_hook(conn, evhtp_hook_on_write, ToHook(&OnCallerWritten),
-                            caller);
-  evhtp_connection_set_hook(conn, evhtp_hook_on_request_fini,
-                            ToHook(&OnRequestReleased), caller);
-  evhtp_connection_set_hook(conn, evhtp_hook_on_connection_fini,
-                            ToHook(&OnCallerClosed), caller);
-  return EVHTP_RES_OK;
-}
-
-evhtp_res Server::Impl::OnPath(evhtp_request_t* request,
-                               evhtp_path_t* path,
-                               void* arg) {
-  static_cast<Caller*>(arg)->header_bytes = 0;
-  return EVHTP_RES_OK;
+CallerBounds Server::Impl::BoundsOfCallers() const {
+  return {
+      .header_bytes = init_.max_request_header_bytes,
+      .header_timeout = std::min(init_.header_timeout, init_.caller_timeout),
+      .idle_timeout = init_.idle_timeout,
+      .progress_timeout = init_.caller_timeout};
 }
 
-evhtp_res Server::Impl::OnHeader(evhtp_request_t* request,
-                                 evhtp_header_t* header,
-                                 void* arg) {
-  auto* caller = static_cast<Caller*>(arg);
-  caller->header_bytes += header->klen + header->vlen;
-  if (caller->header_bytes <= caller->server->init_.max_request_header_bytes) {
-    return EVHTP_RES_OK;
-  }
-  caller->headers_too_large = true;
-  return EVHTP_RES_ERROR;
+void Server::Impl::SetCallerBounds(const CallerLimits& bounds) {
+  init_.max_request_header_bytes = bounds.header_bytes;
+  init_.max_request_body_bytes = bounds.body_bytes;
+  init_.header_timeout = bounds.header_timeout;
+  init_.idle_timeout = bounds.idle_timeout;
 }
 
-void Server::Impl::OnEvent(evhtp_connection_t* conn, short events, void* arg) {
-  if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) == 0) {
+void Server::Impl::OnAccept(int fd, const sockaddr* address) {
+  if (stats_.caller_connections >= init_.max_callers) {
+    CountFault(Fault::kTooManyCallers);
+    evutil_closesocket(fd);
     return;
   }
-  // Lets libevhtp free the connection even though a request is under way.
-  conn->flags &= static_cast<uint16_t>(~EVHTP_CONN_FLAG_PAUSED);
-  Impl* server = static_cast<Caller*>(arg)->server;
-  const bool idle =
-      !conn->request || (conn->request->flags & EVHTP_REQ_FLAG_FINISHED) != 0;
-  if ((events & BEV_EVENT_TIMEOUT) != 0 && !idle) {
-    server->CountFault(Fault::kCallerTimeout);
-  } else if (events & BEV_EVENT_ERROR) {
-    server->CountFault(Fault::kCallerReset);
+  ++stats_.caller_connections;
+  const auto* peer = reinterpret_cast<const sockaddr_in*>(address);
+  auto owned = std::make_unique<CallerConnection>(
+      base_, fd, peer->sin_addr.s_addr, BoundsOfCallers(), this);
+  CallerConnection* connection = owned.get();
+  callers_.emplace(connection, std::move(owned));
+  if (drain_state_ != DrainState::kServing) {
+    connection->CloseAfterAnswers();
   }
 }
 
-// libevhtp closes connections that it can't parse without an answer.
-bool Server::Impl::IsUnparsable(const evhtp_connection_t* conn,
-                                const Caller& caller) {
-  const htpparse_error error = htparser_get_error(conn->parser);
-  return caller.headers_too_large ||
-         (error != htparse_error_none && error != htparse_error_user);
+void Server::Impl::OnCallerClosed(CallerConnection* connection) {
+  --stats_.caller_connections;
+  auto node = callers_.extract(connection);
+  closed_callers_.push_back(std::move(node.mapped()));
+  Poke();
 }
 
-void Server::Impl::SendParseError(evhtp_connection_t* conn, Caller* caller) {
-  const bool large =
-      caller->headers_too_large ||
-      (htparser_get_error(conn->parser) == htparse_error_too_big &&
-       !StoppedAtLength(conn->request));
-  CountFault(large ? Fault::kHeadersTooLarge : Fault::kMalformed);
-  if (caller->relay && caller->relay->state() != Relay::State::kPending) {
-    return;
+void Server::Impl::SetDrainState(DrainState state) {
+  drain_state_ = state;
+  std::vector<CallerConnection*> open;
+  for (const auto& [connection, owned] : callers_) {
+    open.push_back(connection);
   }
-  Refusal refusal = {.status = 400, .error = "malformed"};
-  if (large) {
-    refusal = {.status = 431, .error = "headers_too_large"};
+  for (CallerConnection* connection : open) {
+    connection->CloseAfterAnswers();
+    if (state == DrainState::kRefusing) {
+      connection->CloseWhenIdle();
+    }
   }
-  const std::string text = FormatRefusal(refusal, false, false);
-  // The connection is about to be freed, so its buffers won't be sent.
-  (void)send(conn->sock, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
-  lingering_.Adopt(conn->sock);
 }
 
-evhtp_res Server::Impl::OnCallerWritten(evhtp_connection_t* conn, void* arg) {
-  Relay* relay = static_cast<Caller*>(arg)->relay;
-  if (relay) {
-    relay->OnCallerDrained();
+void Server::Impl::OnRequestHead(CallerConnection* connection, Reply* reply) {
+  const RequestHead& head = reply->head;
+  if (init_.protocol || head.path.starts_with(kRelayPrefix)) {
+    StartRelay(connection, reply);
+  } else if (head.path == "/v1/lookup") {
+    AnswerLookup(connection, reply);
+  } else if (head.path == "/v1/ticket" && tickets_) {
+    AnswerTicket(connection, reply);
+  } else {
+    AnswerFault(
+        connection, reply,
+        {.status = 404, .error = "unknown_path", .fault = Fault::kUnknownPath});
   }
-  return EVHTP_RES_OK;
 }
 
-evhtp_res Server::Impl::OnRequestReleased(evhtp_request_t* request, void*) {
-  bufferevent* bev = request->conn->bev;
-  if (evbuffer_get_length(bufferevent_get_input(bev)) > 0) {
-    bufferevent_trigger(bev, EV_READ, BEV_OPT_DEFER_CALLBACKS);
+void Server::Impl::OnBadRequest(CallerConnection* connection,
+                                Reply* reply,
+                                CallerFault fault) {
+  const bool large = fault == CallerFault::kHeadersTooLarge;
+  CountFault(large ? Fault::kHeadersTooLarge : Fault::kMalformed);
+  Refusal refusal = {.status = 400, .error = "malformed", .close = true};
+  if (large) {
+    refusal = {.status = 431, .error = "headers_too_large", .close = true};
   }
-  return EVHTP_RES_OK;
-}
-
-evhtp_res Server::Impl::OnCallerClosed(evhtp_connection_t* conn, void* arg) {
-  auto* caller = static_cast<Caller*>(arg);
-  Impl* server = caller->server;
-  if (IsUnparsable(conn, *caller)) {
-    server->SendParseError(conn, caller);
+  if (!reply->reader) {
+    SendWhole(connection, reply,
+              protocol_->FormatRefusal(refusal, nullptr, false));
+    return;
+  }
+  // The body of a request that was taken in can't be read on.
+  auto* relay = static_cast<Relay*>(reply->reader);
+  OnRelayAborted(relay);
+  relay->Refuse(refusal);
+  if (!reply->finished) {
+    connection->Break();
   }
-  --server->stats_.caller_connections;
-  std::erase(server->resume_, conn);
-  server->callers_.erase(conn);
-  return EVHTP_RES_OK;
-}
-
-evhtp_res Server::Impl::OnRelayHeaders(evhtp_request_t* request,
-                                       evhtp_headers_t* headers,
-                                       void* self) {
-  auto* server = static_cast<Impl*>(self);
-  server->StartRelay(request, &server->callers_.at(request->conn));
-  return EVHTP_RES_OK;
 }
 
-void Server::Impl::StartRelay(evhtp_request_t* request, Caller* caller) {
-  auto owned = std::make_unique<Relay>(request, init_, this);
+void Server::Impl::StartRelay(CallerConnection* connection, Reply* reply) {
+  auto owned =
+      std::make_unique<Relay>(connection, reply, init_, protocol_, this);
   Relay* relay = owned.get();
   relays_.emplace(relay, std::move(owned));
-  caller->relay = relay;
-  request->cbarg = relay;
-  request->cb = [](evhtp_request_t*, void* arg) {
-    static_cast<Relay*>(arg)->OnMessageComplete();
-  };
-  evhtp_request_set_hook(
-      request, evhtp_hook_on_read,
-      ToHook(+[](evhtp_request_t*, evbuffer* data, void* arg) -> evhtp_res {
-        static_cast<Relay*>(arg)->OnBodyPart(data);
-        return EVHTP_RES_OK;
-      }),
-      relay);
-  evhtp_request_set_hook(request, evhtp_hook_on_request_fini,
-                         ToHook(+[](evhtp_request_t*, void* arg) -> evhtp_res {
-                           static_cast<Relay*>(arg)->OnReleased();
-                           return EVHTP_RES_OK;
-                         }),
-                         relay);
+  reply->reader = relay;
   ++stats_.requests;
   const TimePoint now = clock_->Now();
   Refusal refusal;
-  if (!ParseRelayRequest(request, tables_, now, &relay->spec(), &refusal) ||
+  if (!protocol_->ReadRequest(reply->head, now, &relay->spec(), &refusal) ||
       !CheckTicket(relay->spec(), &refusal)) {
     if (refusal.close) {
       CountFault(refusal.fault);
@@ -290,9 +203,6 @@
     }
     return;
   }
-  if (drain_state_ != DrainState::kServing) {
-    relay->CloseAfterAnswer();
-  }
   relay->set_handle(dispatcher_->Submit(now, relay->spec().traits));
   by_handle_.emplace(relay->handle(), relay);
   Poke();
@@ -303,7 +213,7 @@
     steer::Action draining;
     draining.reason = steer::RejectReason::kDraining;
     draining.retry_after = std::chrono::seconds(1);
-    *refusal = RefusalFor(draining);
+    *refusal = protocol_->RefusalFor(draining);
     return false;
   }
   if (spec.traits.idempotent || !tickets_) {
--- /dev/null
+++ b/src/gateway/backend_registry.cc
@@ -0,0 +1,211 @@
+#include "src/gateway/backend_registry.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "comfreystand/limits.h"
+
+namespace comfreystand::gateway {
+namespace {
+
+// Part of a backend server's connections that all nodes may use together.
+constexpr double kConnectionShare = 0.9;
+
+}  // namespace
+
+BackendId BackendRegistry::NewId() {
+  if (!free_ids_.empty()) {
+    const BackendId id = free_ids_.back();
+    free_ids_.pop_back();
+    return id;
+  }
+  if (next_id_ >= limits::kMaxBackends) {
+    return {};
+  }
+  return BackendId(next_id_++);
+}
+
+void BackendRegistry::StartLife(Record* record,
+                                const BackendEntry& entry,
+                                TimePoint now) {
+  record->incarnation = Incarnation{next_incarnation_++};
+  record->state = steer::BackendState::kLive;
+  record->cold_until = now + entry.cold_left;
+}
+
+void BackendRegistry::Put(const BackendEntry& entry, TimePoint now) {
+  auto found = records_.find(entry.name);
+  if (found == records_.end()) {
+    const BackendId id = NewId();
+    if (!id.IsValid()) {
+      return;
+    }
+    found = records_.emplace(entry.name, Record{}).first;
+    found->second.id = id;
+    StartLife(&found->second, entry, now);
+  } else {
+    Record& record = found->second;
+    if (entry.born_ms < record.entry.born_ms) {
+      // Written by an earlier life, and late.
+      return;
+    }
+    const bool other_life = entry.born_ms > record.entry.born_ms ||
+                            entry.service != record.entry.service ||
+                            entry.address != record.entry.address;
+    // One that left without draining may only have been out of touch.
+    const bool came_back = record.state == steer::BackendState::kGone &&
+                           record.entry.state == BackendEntry::State::kReady;
+    if (other_life || came_back) {
+      StartLife(&record, entry, now);
+    }
+  }
+  Record& record = found->second;
+  const bool drained = record.state != steer::BackendState::kLive;
+  record.missing = false;
+  record.entry = entry;
+  record.cold_until = std::max(record.cold_until, now + entry.cold_left);
+  if (entry.cold_left.count() == 0) {
+    // Its own word counts more than a guess, but for an evacuation's end.
+    record.cold_until =
+        std::min(record.cold_until, std::max(now, record.warm_again));
+  }
+  if (entry.state == BackendEntry::State::kDraining && !drained) {
+    record.state = steer::BackendState::kLeaving;
+  }
+  Publish(record);
+}
+
+void BackendRegistry::Remove(const std::string& name, TimePoint now) {
+  const auto found = records_.find(name);
+  if (found == records_.end() ||
+      found->second.state == steer::BackendState::kGone) {
+    return;
+  }
+  if (!trust_.Trusts(now)) {
+    found->second.missing = true;
+    return;
+  }
+  Finish(&found->second);
+}
+
+void BackendRegistry::Finish(Record* record) {
+  record->missing = false;
+  record->state = steer::BackendState::kGone;
+  Publish(*record);
+}
+
+TimePoint BackendRegistry::Settle(TimePoint now) {
+  bool pending = false;
+  for (auto& [name, record] : records_) {
+    if (!record.missing) {
+      continue;
+    }
+    if (trust_.Trusts(now)) {
+      Finish(&record);
+    } else {
+      pending = true;
+    }
+  }
+  return pending && !trust_.lost() ? trust_.settled_at() : TimePoint::max();
+}
+
+void BackendRegistry::SetEvacuated(const std::string& domain,
+                                   bool evacuated,
+                                   TimePoint now) {
+  if (evacuated == evacuated_.contains(domain)) {
+    return;
+  }
+  if (evacuated) {
+    evacuated_.insert(domain);
+  } else {
+    evacuated_.erase(domain);
+  }
+  for (auto& [name, record] : records_) {
+    if (record.entry.domain != domain) {
+      continue;
+    }
+    const TrafficService* service = ServiceOf(record);
+    if (!evacuated && service) {
+      // They may have lost what they held shortly before.
+      record.warm_again = now + service->cold_time;
+      record.cold_until = std::max(record.cold_until, record.warm_again);
+    }
+    Publish(record);
+  }
+}
+
+void BackendRegistry::SetServices(const std::vector<TrafficService>& services) {
+  service_rules_.clear();
+  for (const TrafficService& service : services) {
+    service_rules_[service.name] = service;
+  }
+  for (const auto& [name, record] : records_) {
+    Publish(record);
+  }
+}
+
+const TrafficService* BackendRegistry::ServiceOf(const Record& record) const {
+  const auto found = service_rules_.find(record.entry.service);
+  return found == service_rules_.end() ? nullptr : &found->second;
+}
+
+void BackendRegistry::Publish(const Record& record) {
+  steer::BackendUpdate update;
+  update.backend = record.id;
+  update.service = services_->IdOf(record.entry.service);
+  const auto domain = domains_.find(record.entry.domain);
+  update.domain = domain == domains_.end() ? DomainId() : domain->second;
+  update.slots = Slots{record.entry.slots};
+  update.state = record.state;
+  update.incarnation = record.incarnation;
+  update.key = StableHash(record.entry.name);
+  update.suspended = evacuated_.contains(record.entry.domain);
+  update.cold_until = record.cold_until;
+  if (const TrafficService* service = ServiceOf(record)) {
+    update.cold_rate = service->cold_rate;
+  }
+  updates_.push_back(update);
+}
+
+std::vector<steer::BackendUpdate> BackendRegistry::TakeUpdates() {
+  return std::exchange(updates_, {});
+}
+
+std::vector<edge::BackendAddress> BackendRegistry::Addresses(
+    size_t nodes) const {
+  std::vector<edge::BackendAddress> addresses;
+  for (const auto& [name, record] : records_) {
+    if (record.state == steer::BackendState::kGone) {
+      continue;
+    }
+    edge::BackendAddress address;
+    address.id = record.id;
+    address.address = record.entry.address;
+    address.name = record.entry.name;
+    const TrafficService* service = ServiceOf(record);
+    if (service && service->max_connections > 0) {
+      const double part = kConnectionShare * service->max_connections /
+                          static_cast<double>(std::max<size_t>(1, nodes));
+      address.max_connections =
+          std::clamp(static_cast<int>(part), 1, address.max_connections);
+    }
+    addresses.push_back(std::move(address));
+  }
+  return addresses;
+}
+
+size_t BackendRegistry::CountReady() const {
+  return static_cast<size_t>(
+      std::count_if(records_.begin(), records_.end(), [](const auto& item) {
+        return item.second.state == steer::BackendState::kLive;
+      }));
+}
+
+size_t BackendRegistry::CountDraining() const {
+  return static_cast<size_t>(
+      std::count_if(records_.begin(), records_.end(), [](const auto& item) {
+        return item.second.state == steer::BackendState::kLeaving;
+      }));
+}
+
+}  // namespace comfreystand::gateway
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,379 @@
+#include "comfreystand/gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/gateway/backend_registry.h"
+#include "src/gateway/node_registry.h"
+
+namespace comfreystand::gateway {
+namespace {
+
+// Part of the bounds that hold over all nodes which is spent, so that nodes
+// that know of each other late stay within them together.
+constexpr double kBoundMargin = 0.8;
+// Callers come back for a new answer this often.
+constexpr std::chrono::milliseconds kAnswerTtl{2'000};
+// A stop refuses new requests from here on; callers have turned elsewhere.
+constexpr std::chrono::milliseconds kRefuseAfter{3'200};
+constexpr std::chrono::milliseconds kStopStep{50};
+// Left of the grace time when the process ends with requests in flight.
+constexpr std::chrono::milliseconds kStopMargin{300};
+constexpr std::chrono::milliseconds kUnacknowledged{1'500};
+constexpr std::chrono::milliseconds kConnectTimeout{500};
+// Descriptors for listeners, the store and files.
+constexpr int kReservedDescriptors = 300;
+// Durations of this many times the usual still count as the same work.
+constexpr double kNoLongWork = 1e9;
+
+class NoLookup final : public steer::LookupSource {
+ public:
+  steer::LookupAnswer Answer(const steer::ClientAddress&, TimePoint) override {
+    return {};
+  }
+};
+
+}  // namespace
+
+class Gateway::Impl {
+ public:
+  Impl(EventLoop* loop, GatewaySettings settings, const Gateway* owner)
+      : loop_(loop),
+        settings_(std::move(settings)),
+        owner_(owner),
+        backends_(&services_),
+        nodes_({.name = settings_.name,
+                .address = settings_.traffic_address.text,
+                .domain = settings_.domain,
+                .region = settings_.region,
+                .peer_address = {}}) {
+    NumberDomains();
+    dispatcher_ = steer::CreateDispatcher(DispatchInit());
+    dispatcher_->SetPeerNodes(nodes_.Peers());
+  }
+
+  bool Start(const ProtocolFactory& protocol, std::string* error) {
+    protocol_ = protocol(owner_);
+    edge::ServerInit init;
+    init.listen_address = settings_.traffic_address.text;
+    init.protocol = protocol_.get();
+    init.load_poll_interval = Duration(0);
+    init.connect_timeout = kConnectTimeout;
+    init.unacknowledged_timeout = kUnacknowledged;
+    init.max_answer_body_bytes = limits::kMaxAnswerBodyBytes;
+    const int sockets =
+        std::max(64, settings_.max_descriptors - kReservedDescriptors);
+    init.max_backend_connections =
+        std::min(init.max_backend_connections, sockets / 2);
+    init.max_callers = std::min(init.max_callers, sockets / 2);
+    server_ = edge::Server::Create(loop_->base(), &clock_, init, &no_lookup_,
+                                   dispatcher_.get(), nullptr, error);
+    return server_ != nullptr;
+  }
+
+  void OnConfig(TrafficConfig config) {
+    if (routes_ && config.version <= routes_->config().version) {
+      return;
+    }
+    LogStateChange("config", "installed",
+                   {{"version", std::to_string(config.version.value)},
+                    {"routes", std::to_string(config.routes.size())}});
+    const TrafficLimits& limits = config.limits;
+    server_->SetCallerBounds(
+        {.header_bytes = static_cast<size_t>(limits.header_bytes),
+         .body_bytes = static_cast<size_t>(limits.body_bytes),
+         .header_timeout = limits.header_timeout,
+         .idle_timeout = limits.idle_timeout});
+    backends_.SetServices(config.services);
+    routes_ = std::make_unique<RouteTable>(std::move(config), &services_);
+    Publish();
+  }
+
+  void OnBackend(const BackendEntry& entry) {
+    backends_.Put(entry, loop_->Now());
+    PublishSoon();
+  }
+
+  void OnBackendRemoved(const std::string& name) {
+    LogStateChange("backend", "removed", {{"name", name}});
+    backends_.Remove(name, loop_->Now());
+    PublishSoon();
+    SettleLater();
+  }
+
+  void OnBackendsListed() {
+    listed_ = true;
+    Publish();
+  }
+
+  void OnEvacuation(const std::string& domain, bool evacuated) {
+    LogStateChange("domain", evacuated ? "evacuated" : "taken-back",
+                   {{"domain", domain}});
+    backends_.SetEvacuated(domain, evacuated, loop_->Now());
+    Publish();
+  }
+
+  void OnNode(const NodeEntry& node) {
+    nodes_.Put(node, loop_->Now());
+    OnNodesChanged();
+  }
+
+  void OnNodeRemoved(const std::string& name) {
+    LogStateChange("membership", "node-removed", {{"node", name}});
+    nodes_.Remove(name, loop_->Now());
+    OnNodesChanged();
+    SettleLater();
+  }
+
+  void OnStoreLost() {
+    LogStateChange("store", "lost", {}, LogLevel::kWarn);
+    store_lost_ = true;
+    backends_.OnStoreLost();
+    nodes_.OnStoreLost();
+  }
+
+  void OnStoreRegained() {
+    LogStateChange("store", "regained");
+    store_lost_ = false;
+    backends_.OnStoreRegained(loop_->Now());
+    nodes_.OnStoreRegained(loop_->Now());
+    SettleLater();
+  }
+
+  bool Ready() const { return routes_ && listed_ && !stopping_; }
+
+  DirectoryAnswer Lookup(std::string_view region,
+                         std::string_view domain) const {
+    return {.addresses = nodes_.AddressesFor(region, domain),
+            .ttl = std::min<Duration>(kAnswerTtl, settings_.max_answer_ttl)};
+  }
+
+  void BeginStop(std::function<void()> done) {
+    stopping_ = true;
+    stopped_ = std::move(done);
+    stop_began_ = loop_->Now();
+    nodes_.Leave();
+    server_->SetDrainState(edge::DrainState::kDraining);
+    StepStop();
+  }
+
+  GatewayStats GetStats() const {
+    return {.version = routes_ ? routes_->config().version : ConfigVersion{},
+            .backends_ready = backends_.CountReady(),
+            .backends_draining = backends_.CountDraining(),
+            .nodes = nodes_.size(),
+            .ready = Ready(),
+            .store_lost = store_lost_};
+  }
+
+  edge::Stats EdgeStats() const { return server_->GetStats(); }
+  steer::DispatcherStats DispatchStats() const { return dispatcher_->Stats(); }
+  const RouteTable* Routes() const { return routes_.get(); }
+
+  uint64_t RegionsOf(const TrafficRoute& route) const {
+    uint64_t regions = 0;
+    for (const std::string& name : route.home_regions) {
+      const auto found = region_ids_.find(name);
+      if (found != region_ids_.end()) {
+        regions |= uint64_t{1} << found->second.value;
+      }
+    }
+    // A home that no failure domain belongs to serves nothing.
+    constexpr uint64_t kNoRegion = uint64_t{1} << 63;
+    return route.home_regions.empty() ? 0 : regions == 0 ? kNoRegion : regions;
+  }
+
+ private:
+  void NumberDomains() {
+    constexpr size_t kMostRegions = 63;
+    for (const auto& [domain, region] : settings_.regions_of_domains) {
+      if (!region_ids_.contains(region) && region_ids_.size() < kMostRegions) {
+        const RegionId id(static_cast<uint16_t>(region_ids_.size()));
+        region_ids_.emplace(region, id);
+        places_.regions.push_back({region});
+      }
+      const DomainId id(static_cast<uint16_t>(domain_ids_.size()));
+      domain_ids_.emplace(domain, id);
+      places_.domains.push_back(
+          {.name = domain, .region = region_ids_[region]});
+    }
+    backends_.SetDomains(domain_ids_);
+  }
+
+  steer::DispatcherInit DispatchInit() const {
+    steer::DispatcherInit init;
+    init.node = NodeId(0);
+    const auto own = domain_ids_.find(settings_.domain);
+    init.domain = own == domain_ids_.end() ? DomainId() : own->second;
+    init.default_remote_limit = Slots{-1};
+    init.rules = places_;
+    init.seed = StableHash(settings_.name);
+    init.tuning.retry_ratio = settings_.resend_ratio.value * kBoundMargin;
+    init.tuning.retry_burst = settings_.resend_extra * kBoundMargin;
+    init.tuning.hedge_ratio = 0;
+    init.tuning.hedge_burst = 0;
+    init.tuning.probe_share = 0;
+    init.tuning.cancel_lead = Duration(0);
+    init.tuning.long_factor = kNoLongWork;
+    init.tuning.placement.enabled = true;
+    return init;
+  }
+
+  void OnNodesChanged() {
+    dispatcher_->SetPeerNodes(nodes_.Peers());
+    addresses_changed_ = true;
+    PublishSoon();
+  }
+
+  // Changes come in batches; the dispatcher and the pool take them together.
+  void PublishSoon() {
+    if (publish_posted_) {
+      return;
+    }
+    publish_posted_ = true;
+    Post(Duration(0), [this] { Publish(); });
+  }
+
+  void Publish() {
+    publish_posted_ = false;
+    const auto updates = backends_.TakeUpdates();
+    const TimePoint now = loop_->Now();
+    for (const steer::BackendUpdate& update : updates) {
+      dispatcher_->UpdateBackend(now, update);
+    }
+    if (!updates.empty() || addresses_changed_) {
+      addresses_changed_ = false;
+      server_->SetBackends(backends_.Addresses(nodes_.size()));
+    }
+    server_->Poke();
+  }
+
+  void SettleLater() {
+    const TimePoint now = loop_->Now();
+    const TimePoint next = std::min(backends_.Settle(now), nodes_.Settle(now));
+    if (next == TimePoint::max()) {
+      OnNodesChanged();
+      return;
+    }
+    if (settle_posted_) {
+      return;
+    }
+    settle_posted_ = true;
+    Post(next - now + std::chrono::milliseconds(1), [this] {
+      settle_posted_ = false;
+      SettleLater();
+    });
+  }
+
+  void StepStop() {
+    const Duration since = loop_->Now() - stop_began_;
+    if (since >= kRefuseAfter && !refusing_) {
+      refusing_ = true;
+      server_->SetDrainState(edge::DrainState::kRefusing);
+    }
+    const bool finished = refusing_ && server_->Idle() &&
+                          server_->GetStats().caller_connections == 0;
+    if (finished || since >= settings_.grace - kStopMargin) {
+      stopped_();
+      return;
+    }
+    Post(kStopStep, [this] { StepStop(); });
+  }
+
+  void Post(Duration delay, std::function<void()> task) {
+    loop_->PostDelayed(
+        delay, [task = std::move(task), alive = std::weak_ptr<bool>(alive_)] {
+          if (!alive.expired()) {
+            task();
+          }
+        });
+  }
+
+  EventLoop* const loop_;
+  const GatewaySettings settings_;
+  const Gateway* const owner_;
+  SystemClock clock_;
+  NoLookup no_lookup_;
+  ServiceRegistry services_;
+  std::map<std::string, RegionId> region_ids_;
+  std::map<std::string, DomainId> domain_ids_;
+  RuleSet places_;
+  std::unique_ptr<RouteTable> routes_;
+  BackendRegistry backends_;
+  NodeRegistry nodes_;
+  std::unique_ptr<steer::Dispatcher> dispatcher_;
+  std::unique_ptr<edge::RelayProtocol> protocol_;
+  std::unique_ptr<edge::Server> server_;
+  std::function<void()> stopped_;
+  TimePoint stop_began_{};
+  bool listed_ = false;
+  bool stopping_ = false;
+  bool refusing_ = false;
+  bool store_lost_ = false;
+  bool publish_posted_ = false;
+  bool settle_posted_ = false;
+  bool addresses_changed_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+Gateway::Gateway(EventLoop* loop, const GatewaySettings& settings)
+    : impl_(std::make_unique<Impl>(loop, settings, this)) {}
+Gateway::~Gateway() = default;
+
+bool Gateway::Start(const ProtocolFactory& protocol, std::string* error) {
+  return impl_->Start(protocol, error);
+}
+void Gateway::OnConfig(TrafficConfig config) {
+  impl_->OnConfig(std::move(config));
+}
+void Gateway::OnBackend(const BackendEntry& entry) {
+  impl_->OnBackend(entry);
+}
+void Gateway::OnBackendRemoved(const std::string& name) {
+  impl_->OnBackendRemoved(name);
+}
+void Gateway::OnBackendsListed() {
+  impl_->OnBackendsListed();
+}
+void Gateway::OnEvacuation(const std::string& domain, bool evacuated) {
+  impl_->OnEvacuation(domain, evacuated);
+}
+void Gateway::OnNode(const NodeEntry& node) {
+  impl_->OnNode(node);
+}
+void Gateway::OnNodeRemoved(const std::string& name) {
+  impl_->OnNodeRemoved(name);
+}
+void Gateway::OnStoreLost() {
+  impl_->OnStoreLost();
+}
+void Gateway::OnStoreRegained() {
+  impl_->OnStoreRegained();
+}
+bool Gateway::Ready() const {
+  return impl_->Ready();
+}
+DirectoryAnswer Gateway::Lookup(std::string_view region,
+                                std::string_view domain) const {
+  return impl_->Lookup(region, domain);
+}
+void Gateway::BeginStop(std::function<void()> done) {
+  impl_->BeginStop(std::move(done));
+}
+GatewayStats Gateway::GetStats() const {
+  return impl_->GetStats();
+}
+edge::Stats Gateway::EdgeStats() const {
+  return impl_->EdgeStats();
+}
+steer::DispatcherStats Gateway::DispatchStats() const {
+  return impl_->DispatchStats();
+}
+const RouteTable* Gateway::Routes() const {
+  return impl_->Routes();
+}
+uint64_t Gateway::RegionsOf(const TrafficRoute& route) const {
+  return impl_->RegionsOf(route);
+}
+
+}  // namespace comfreystand::gateway
--- /dev/null
+++ b/src/gateway/gateway_settings.cc
@@ -0,0 +1,216 @@
+#include <ini.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <functional>
+#include <set>
+#include <utility>
+
+#include "comfreystand/gateway.h"
+#include "comfreystand/http_client.h"
+
+namespace comfreystand::gateway {
+namespace {
+
+enum class Presence : uint8_t { kOptional, kRequired };
+
+// Takes a value in. Returns what would have been valid, or nothing.
+using Setter = const char* (*)(std::string_view value, GatewaySettings* out);
+
+struct Setting {
+  std::string_view section;
+  std::string_view key;
+  Presence presence;
+  Setter set;
+};
+
+template <std::string GatewaySettings::*kMember>
+const char* SetText(std::string_view value, GatewaySettings* out) {
+  out->*kMember = std::string(value);
+  return value.empty() ? "a name" : nullptr;
+}
+
+template <NumericAddress GatewaySettings::*kMember>
+const char* SetAddress(std::string_view value, GatewaySettings* out) {
+  std::string host;
+  uint16_t port = 0;
+  (out->*kMember).text = std::string(value);
+  return http::ParseAddress(value, &host, &port)
+             ? nullptr
+             : "a numeric address and a port, 10.1.0.35:8144 for example";
+}
+
+// An address that may be left empty.
+template <NumericAddress GatewaySettings::*kMember>
+const char* SetOptionalAddress(std::string_view value, GatewaySettings* out) {
+  return value.empty() ? nullptr : SetAddress<kMember>(value, out);
+}
+
+bool ParseNumber(std::string_view text, double* number) {
+  const char* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, *number);
+  return !text.empty() && result.ec == std::errc() && result.ptr == end &&
+         std::isfinite(*number);
+}
+
+template <Duration GatewaySettings::*kMember>
+const char* SetSeconds(std::string_view value, GatewaySettings* out) {
+  constexpr double kLeast = 0.1;
+  constexpr double kMost = 3'600;
+  double seconds = 0;
+  if (!ParseNumber(value, &seconds) || seconds < kLeast || seconds > kMost) {
+    return "a number of seconds from 0.1 to 3600";
+  }
+  out->*kMember = Duration(static_cast<int64_t>(seconds * 1e6));
+  return nullptr;
+}
+
+const char* SetDescriptors(std::string_view value, GatewaySettings* out) {
+  double number = 0;
+  if (!ParseNumber(value, &number) || number < 400 || number > 10'000'000) {
+    return "a whole number from 400 to 10000000";
+  }
+  out->max_descriptors = static_cast<int>(number);
+  return nullptr;
+}
+
+const char* SetResendRatio(std::string_view value, GatewaySettings* out) {
+  if (!ParseNumber(value, &out->resend_ratio.value) ||
+      out->resend_ratio.value < 0 || out->resend_ratio.value > 1) {
+    return "a number from 0 to 1";
+  }
+  return nullptr;
+}
+
+const char* SetResendExtra(std::string_view value, GatewaySettings* out) {
+  if (!ParseNumber(value, &out->resend_extra) || out->resend_extra < 0) {
+    return "a number from 0";
+  }
+  return nullptr;
+}
+
+const char* SetLogLevel(std::string_view value, GatewaySettings* out) {
+  constexpr std::array<std::pair<std::string_view, LogLevel>, 4> kLevels = {
+      {{"debug", LogLevel::kDebug},
+       {"info", LogLevel::kInfo},
+       {"warn", LogLevel::kWarn},
+       {"error", LogLevel::kError}}};
+  const auto* found =
+      std::find_if(kLevels.begin(), kLevels.end(),
+                   [value](const auto& level) { return level.first == value; });
+  if (found == kLevels.end()) {
+    return "debug, info, warn or error";
+  }
+  out->log_level = found->second;
+  return nullptr;
+}
+
+using S = GatewaySettings;
+constexpr std::string_view kDomains = "domains";
+
+constexpr std::array kTable = std::to_array<Setting>({
+    {"node", "name", Presence::kRequired, &SetText<&S::name>},
+    {"node", "domain", Presence::kRequired, &SetText<&S::domain>},
+    {"node", "region", Presence::kRequired, &SetText<&S::region>},
+    {"listen", "traffic", Presence::kRequired,
+     &SetAddress<&S::traffic_address>},
+    {"listen", "readiness", Presence::kRequired,
+     &SetAddress<&S::readiness_address>},
+    {"listen", "directory", Presence::kRequired,
+     &SetAddress<&S::directory_address>},
+    {"listen", "metrics", Presence::kOptional,
+     &SetOptionalAddress<&S::metrics_address>},
+    {"store", "address", Presence::kRequired, &SetAddress<&S::store_address>},
+    {"limits", "max-descriptors", Presence::kOptional, &SetDescriptors},
+    {"bounds", "grace", Presence::kOptional, &SetSeconds<&S::grace>},
+    {"bounds", "max-answer-ttl", Presence::kOptional,
+     &SetSeconds<&S::max_answer_ttl>},
+    {"bounds", "resend-ratio", Presence::kOptional, &SetResendRatio},
+    {"bounds", "resend-extra", Presence::kOptional, &SetResendExtra},
+    {"log", "level", Presence::kOptional, &SetLogLevel},
+});
+
+class Parser {
+ public:
+  GatewaySettingsResult Run(std::string_view text) {
+    const std::string copy(text);
+    const int line = ini_parse_string(copy.c_str(), &Parser::OnPair, this);
+    if (line > 0) {
+      Add(line, "", "", "the line is no setting", "KEY = VALUE");
+    }
+    for (const Setting& setting : kTable) {
+      if (setting.presence == Presence::kRequired &&
+          !seen_.contains({setting.section, setting.key})) {
+        Add(0, setting.section, setting.key, "the setting is missing", "");
+      }
+    }
+    if (!settings_.domain.empty() &&
+        !settings_.regions_of_domains.contains(settings_.domain)) {
+      Add(0, kDomains, settings_.domain,
+          "the node's own failure domain is missing", "DOMAIN = REGION");
+    }
+    if (result_.errors.empty()) {
+      result_.settings = std::move(settings_);
+    }
+    return std::move(result_);
+  }
+
+ private:
+  static int OnPair(void* self,
+                    const char* section,
+                    const char* key,
+                    const char* value) {
+    static_cast<Parser*>(self)->Take(section, key, value ? value : "");
+    return 1;
+  }
+
+  void Take(std::string_view section,
+            std::string_view key,
+            std::string_view value) {
+    if (section == kDomains) {
+      settings_.regions_of_domains[std::string(key)] = std::string(value);
+      return;
+    }
+    const auto* found =
+        std::find_if(kTable.begin(), kTable.end(), [&](const Setting& setting) {
+          return setting.section == section && setting.key == key;
+        });
+    if (found == kTable.end()) {
+      Add(0, section, key, "the setting is unknown", "");
+      return;
+    }
+    seen_.insert({found->section, found->key});
+    if (const char* expected = found->set(value, &settings_)) {
+      Add(0, section, key, "\"" + std::string(value) + "\" is not valid",
+          expected);
+    }
+  }
+
+  void Add(int line,
+           std::string_view section,
+           std::string_view key,
+           std::string message,
+           std::string expected) {
+    SettingError error;
+    error.line = line;
+    error.section = std::string(section);
+    error.key = std::string(key);
+    error.message = std::move(message);
+    error.expected = std::move(expected);
+    result_.errors.push_back(std::move(error));
+  }
+
+  GatewaySettings settings_;
+  GatewaySettingsResult result_;
+  std::set<std::pair<std::string_view, std::string_view>> seen_;
+};
+
+}  // namespace
+
+GatewaySettingsResult ParseGatewaySettings(std::string_view text) {
+  return Parser().Run(text);
+}
+
+}  // namespace comfreystand::gateway
--- /dev/null
+++ b/src/gateway/node_registry.cc
@@ -0,0 +1,84 @@
+#include "src/gateway/node_registry.h"
+
+#include <algorithm>
+
+namespace comfreystand::gateway {
+namespace {
+
+// Addresses of one answer.
+constexpr size_t kMostAddresses = 64;
+
+}  // namespace
+
+void NodeRegistry::Put(const NodeEntry& node, TimePoint now) {
+  nodes_[node.name] = {node, false};
+}
+
+void NodeRegistry::Remove(const std::string& name, TimePoint now) {
+  const auto found = nodes_.find(name);
+  if (found == nodes_.end()) {
+    return;
+  }
+  if (trust_.Trusts(now)) {
+    nodes_.erase(found);
+  } else {
+    found->second.missing = true;
+  }
+}
+
+TimePoint NodeRegistry::Settle(TimePoint now) {
+  if (trust_.Trusts(now)) {
+    std::erase_if(nodes_, [](const auto& item) { return item.second.missing; });
+    return TimePoint::max();
+  }
+  const bool pending =
+      std::any_of(nodes_.begin(), nodes_.end(),
+                  [](const auto& item) { return item.second.missing; });
+  return pending && !trust_.lost() ? trust_.settled_at() : TimePoint::max();
+}
+
+template <typename Match>
+std::vector<std::string> NodeRegistry::Matching(Match match) const {
+  std::vector<std::string> addresses;
+  for (const auto& [name, record] : nodes_) {
+    if (name != self_.name && match(record.entry)) {
+      addresses.push_back(record.entry.address);
+    }
+  }
+  if (!leaving_ && match(self_)) {
+    addresses.push_back(self_.address);
+  }
+  if (addresses.size() > kMostAddresses) {
+    addresses.resize(kMostAddresses);
+  }
+  return addresses;
+}
+
+std::vector<std::string> NodeRegistry::AddressesFor(
+    std::string_view region,
+    std::string_view domain) const {
+  auto addresses = Matching(
+      [domain](const NodeEntry& node) { return node.domain == domain; });
+  if (addresses.empty()) {
+    addresses = Matching(
+        [region](const NodeEntry& node) { return node.region == region; });
+  }
+  if (addresses.empty()) {
+    addresses = Matching([](const NodeEntry&) { return true; });
+  }
+  return addresses;
+}
+
+steer::PeerNodes NodeRegistry::Peers() const {
+  steer::PeerNodes peers;
+  peers.self = StableHash(self_.name);
+  for (const auto& [name, record] : nodes_) {
+    peers.live.push_back(StableHash(name));
+  }
+  if (!nodes_.contains(self_.name)) {
+    peers.live.push_back(peers.self);
+  }
+  return peers;
+}
+
+}  // namespace comfreystand::gateway
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -1,9 +1,12 @@
 #include "comfreystand/http_client.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <charconv>
@@ -25,6 +28,31 @@
   return result;
 }
 
+// Finds connections that went silent while they wait for an answer.
+void WatchForSilence(int fd) {
+  constexpr int kOn = 1;
+  constexpr int kIdleSeconds = 1;
+  constexpr int kIntervalSeconds = 1;
+  constexpr int kProbes = 2;
+  constexpr unsigned int kUnacknowledgedMillis = 2'000;
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &kOn, sizeof(kOn));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &kIdleSeconds,
+             sizeof(kIdleSeconds));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &kIntervalSeconds,
+             sizeof(kIntervalSeconds));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedMillis,
+             sizeof(kUnacknowledgedMillis));
+}
+
+// The socket exists once the first bytes leave.
+void OnBytesLeft(evbuffer*, const evbuffer_cb_info* info, void* arg) {
+  const int fd = bufferevent_getfd(static_cast<bufferevent*>(arg));
+  if (info->n_deleted > 0 && fd >= 0) {
+    WatchForSilence(fd);
+  }
+}
+
 std::string TakeBody(evhttp_request* request) {
   evbuffer* input = evhttp_request_get_input_buffer(request);
   const size_t size = evbuffer_get_length(input);
@@ -128,6 +156,8 @@
         evhttp_connection_base_new(base_, nullptr, host_.c_str(), port_);
     evhttp_connection_set_max_body_size(
         connection, static_cast<ev_ssize_t>(limits::kMaxStoreValueBytes * 2));
+    bufferevent* bev = evhttp_connection_get_bufferevent(connection);
+    evbuffer_add_cb(bufferevent_get_output(bev), &OnBytesLeft, bev);
     return connection;
   }
 
--- a/src/steer/balance_backend.cc
+++ b/src/steer/balance_backend.cc
@@ -13,6 +13,9 @@
 // Weights of a load report and of a balance interval in long-run averages.
 constexpr double kReportWeight = 0.1;
 constexpr double kIntervalWeight = 0.01;
+constexpr double kHeaderWeight = 0.1;
+// Time for which a machine's work factor holds.
+constexpr Duration kWorkFactorFor{300'000};
 
 }  // namespace
 
@@ -36,6 +39,12 @@
   const bool changed = !same_life || next != state ||
                        service != update.service || domain != update.domain ||
                        slots != static_cast<uint32_t>(update.slots.value);
+  key = update.key;
+  suspended = update.suspended;
+  // Learned from answers too, so the later one counts.
+  cold_until =
+      same_life ? std::max(cold_until, update.cold_until) : update.cold_until;
+  cold_rate = update.cold_rate;
   id = update.backend;
   service = update.service;
   domain = update.domain;
@@ -89,6 +98,27 @@
   foreign_at_ = now;
 }
 
+double Backend::ExpectedForeign(TimePoint now) const {
+  const double age = static_cast<double>((now - foreign_at_).count());
+  const double weight = std::exp(-age / kForeignFadeMicros);
+  return mean_foreign_ + (foreign_busy_ - mean_foreign_) * weight;
+}
+
+void Backend::OnLoadHeader(TimePoint now,
+                           const LoadHeader& load,
+                           uint32_t own) {
+  foreign_busy_ =
+      std::max(0.0, static_cast<double>(load.running + load.waiting) - own);
+  foreign_at_ = now;
+  mean_foreign_ += (foreign_busy_ - mean_foreign_) * kHeaderWeight;
+  work_factor_ = load.work_factor;
+  work_factor_at_ = now;
+}
+
+double Backend::WorkFactor(TimePoint now) const {
+  return now - work_factor_at_ < kWorkFactorFor ? work_factor_ : 1;
+}
+
 void Backend::OnProgress(TimePoint now) {
   last_progress_ = now;
   silent_strikes_ = 0;
--- a/src/steer/balance_backend.h
+++ b/src/steer/balance_backend.h
@@ -6,6 +6,7 @@
 #include "comfreystand/base.h"
 #include "comfreystand/steer/dispatch.h"
 #include "src/steer/balance_slowness.h"
+#include "src/steer/cold_gate.h"
 
 namespace comfreystand::steer {
 
@@ -38,6 +39,16 @@
   double ForeignBusy(TimePoint now) const;
   void SetForeignBusy(TimePoint now, double busy);
 
+  // Requests of other nodes there, as far as its last load header and their
+  // long-run average tell.
+  double ExpectedForeign(TimePoint now) const;
+
+  // Takes in what it said of its load, after `own` of this node's requests.
+  void OnLoadHeader(TimePoint now, const LoadHeader& load, uint32_t own);
+
+  // How long work takes on its machine now; 1 is as usual.
+  double WorkFactor(TimePoint now) const;
+
   // Records that something came from the backend server.
   void OnProgress(TimePoint now);
 
@@ -58,6 +69,14 @@
   BackendState state = BackendState::kGone;
   Incarnation incarnation;
 
+  uint64_t key = 0;
+  bool suspended = false;
+  TimePoint cold_until;
+  double cold_rate = 0;
+  // This node is the one that sends to it while it is cold.
+  bool owns_cold = true;
+  ColdGate cold_gate;
+
   uint32_t in_flight = 0;
   uint32_t long_in_flight = 0;
   // Requests answered since it was first seen.
@@ -82,6 +101,10 @@
   // Long-run averages of busy slots as reported and of own requests.
   double mean_busy_ = 0;
   double mean_own_ = 0;
+  // Average of other nodes' requests by load headers.
+  double mean_foreign_ = 0;
+  double work_factor_ = 1;
+  TimePoint work_factor_at_;
 };
 
 }  // namespace comfreystand::steer
--- a/src/steer/balance_evaluate.cc
+++ b/src/steer/balance_evaluate.cc
@@ -49,6 +49,9 @@
       loads_.push_back({.domain = backend.domain});
       load = &loads_.back();
       load->distance = DistanceTo(init, backend.domain);
+      if (backend.domain.value < init.rules.domains.size()) {
+        load->region = init.rules.domains[backend.domain.value].region;
+      }
       load->limit = load->distance == Distance::kOwnDomain
                         ? -1
                         : init.default_remote_limit.value;
--- a/src/steer/balance_pool.cc
+++ b/src/steer/balance_pool.cc
@@ -44,7 +44,77 @@
   return true;
 }
 
+// Whether a request that is placed by its object may start there now.
+bool ServicePool::HasPlace(TimePoint now,
+                           const Member& member,
+                           const ChoiceRequest& request) const {
+  const Backend& backend = At(member.backend);
+  const DomainLoad& load = loads_[member.load];
+  if (backend.state != BackendState::kLive || backend.suspended ||
+      now < backend.refused_until || Contains(request.exclude, backend.id)) {
+    return false;
+  }
+  if (request.regions != 0 &&
+      (!load.region.IsValid() ||
+       (request.regions >> load.region.value & 1) == 0)) {
+    return false;
+  }
+  if (now < backend.cold_until) {
+    return backend.owns_cold && backend.in_flight < backend.slots &&
+           backend.cold_gate.IsOpen(now, backend.cold_rate);
+  }
+  return backend.in_flight + backend.ExpectedForeign(now) <
+         backend.slots + tuning_->placement.backlog;
+}
+
+Choice ServicePool::ChoosePlaced(TimePoint now, const ChoiceRequest& request) {
+  Backend* best = nullptr;
+  double best_cost = 0;
+  for (const Member& member : members_) {
+    Backend& backend = At(member.backend);
+    if (!HasPlace(now, member, request)) {
+      continue;
+    }
+    if (WantsTrial(now, backend, request)) {
+      backend.next_trial = now + backend.trial_wait;
+      backend.trial_wait =
+          std::min(backend.trial_wait * 2, tuning_->trial_interval * 8);
+      return {.backend = backend.id, .trial = true};
+    }
+    if (backend.suspect || backend.IsEjected()) {
+      continue;
+    }
+    const double relative = backend.slowness.Get(now) / median_;
+    const Distance distance = loads_[member.load].distance;
+    const PlacementCandidate candidate = {
+        .key = backend.key,
+        .busy = backend.in_flight + backend.ExpectedForeign(now),
+        .slots = backend.slots,
+        .warm = warm_objects_.IsWarm(request.work.object, backend.id, now),
+        .slowness = std::max(backend.WorkFactor(now),
+                             relative > kSlownessDeadband ? relative : 1),
+        .same_domain = distance == Distance::kOwnDomain,
+        .same_region = distance != Distance::kOtherRegion};
+    const double cost =
+        PlacementCost(candidate, request.work, tuning_->placement);
+    if (best == nullptr || cost < best_cost) {
+      best = &backend;
+      best_cost = cost;
+    }
+  }
+  if (best == nullptr) {
+    return {};
+  }
+  if (now < best->cold_until) {
+    best->cold_gate.OnStart(now);
+  }
+  return {.backend = best->id};
+}
+
 Choice ServicePool::Choose(TimePoint now, const ChoiceRequest& request) {
+  if (request.placed) {
+    return ChoosePlaced(now, request);
+  }
   const Member* best = nullptr;
   double best_cost = 0;
   for (const Member& member : members_) {
--- a/src/steer/balance_pool.h
+++ b/src/steer/balance_pool.h
@@ -11,6 +11,8 @@
 #include "comfreystand/steer/dispatch.h"
 #include "src/steer/admission_learn.h"
 #include "src/steer/balance_backend.h"
+#include "src/steer/placement.h"
+#include "src/steer/warm_objects.h"
 
 namespace comfreystand::steer {
 
@@ -37,6 +39,11 @@
   Distance reach = Distance::kSameRegion;
   // False for hedges: they go to no trial.
   bool trials = true;
+  // Set where the choice follows objects.
+  bool placed = false;
+  PlacementWork work;
+  // Regions that may serve the request, a bit each; all when zero.
+  uint64_t regions = 0;
 };
 
 struct Choice {
@@ -75,6 +82,9 @@
   // Compares siblings and moves their weights; called at a fixed interval.
   void Evaluate(TimePoint now, DispatcherStats* stats);
 
+  // What this node has seen of objects and their holders.
+  WarmObjects& warm_objects() { return warm_objects_; }
+
   bool HasLive() const { return live_ > 0; }
   bool HasLocal() const { return has_local_; }
   uint32_t EjectedCount() const { return ejected_; }
@@ -85,6 +95,7 @@
  private:
   struct DomainLoad {
     DomainId domain;
+    RegionId region;
     Distance distance = Distance::kOwnDomain;
     int32_t limit = -1;
     uint32_t slots = 0;
@@ -121,6 +132,11 @@
   double Cost(TimePoint now,
               const Member& member,
               const ChoiceRequest& request) const;
+  // Choice among the holders of an object and all others.
+  Choice ChoosePlaced(TimePoint now, const ChoiceRequest& request);
+  bool HasPlace(TimePoint now,
+                const Member& member,
+                const ChoiceRequest& request) const;
   double MedianSlowness(TimePoint now);
   bool MoveWeight(TimePoint now, const Member& member, double relative);
   bool MayEject(const DomainLoad& load) const;
@@ -131,6 +147,7 @@
   std::vector<DomainLoad> loads_;
   // Bounds that SetLimit() has set, by failure domain.
   std::vector<std::pair<DomainId, int32_t>> limits_;
+  WarmObjects warm_objects_;
   std::vector<double> scratch_;
   std::array<uint32_t, kLanes> lane_in_flight_{};
   PeerPlace peers_;
--- a/src/steer/dispatch_admit.cc
+++ b/src/steer/dispatch_admit.cc
@@ -15,14 +15,16 @@
 RequestHandle DispatcherCore::Submit(TimePoint now,
                                      const RequestTraits& traits) {
   ++stats_.submitted;
-  retry_budget_.OnRequest();
   hedge_budget_.OnRequest();
   RebuildPools();
   const RequestHandle handle = requests_.Create();
   Request* request = requests_.Find(handle);
   request->traits = traits;
   request->history.idempotent = traits.idempotent;
-  const Service* service = FindService(traits.service);
+  Service* service = FindService(traits.service);
+  if (service != nullptr) {
+    service->retry_budget.OnRequest();
+  }
   if (!admitting_) {
     Reject(handle, request, RejectReason::kDraining, Duration(0));
     return handle;
@@ -45,8 +47,12 @@
 
 void DispatcherCore::Classify(Request* request) {
   const RequestTraits& traits = request->traits;
-  const WorkKey key = {traits.service, traits.request_class, traits.path_hash};
+  const WorkKey key = KeyOf(traits, true);
   request->expected = learner_.Expected(key);
+  request->priority = traits.priority;
+  if (IsPlaced()) {
+    return;
+  }
   double least_share = init_.tuning.learned_long_share;
   for (const ClassRule& rule : init_.rules.classes) {
     least_share = std::min(least_share, rule.max_slot_share.value);
@@ -54,7 +60,7 @@
   const auto& classes = init_.rules.classes;
   if (traits.request_class.value < classes.size()) {
     const ClassRule& rule = classes[traits.request_class.value];
-    request->priority = rule.priority;
+    request->priority += rule.priority;
     request->long_share = rule.max_slot_share.value;
   }
   if (request->long_share < 1) {
@@ -72,6 +78,12 @@
   const TimePoint deadline = request->traits.deadline;
   request->latest_start = std::max(now + (deadline - now) / 2,
                                    deadline - kStartMargin * request->expected);
+  if (IsPlaced() && request->traits.goal.count() > 0) {
+    const double wait = init_.tuning.placement.max_wait_share *
+                        static_cast<double>(request->traits.goal.count());
+    request->latest_start = std::min(
+        request->latest_start, now + Duration(static_cast<int64_t>(wait)));
+  }
   Service* service = FindService(request->traits.service);
   service->queues[static_cast<size_t>(request->lane)].Push(
       handle, request->traits.caller, request->priority, deadline);
@@ -85,6 +97,10 @@
                           Lane lane,
                           TimePoint deadline) {
   FairQueue& queue = FindService(service_id)->queues[static_cast<size_t>(lane)];
+  if (IsPlaced()) {
+    // Each request has its own bound on the wait.
+    return;
+  }
   const double left = static_cast<double>((deadline - now).count());
   const Duration allowed(
       static_cast<int64_t>(left * init_.tuning.max_queue_share));
@@ -160,7 +176,12 @@
       .exclude = Tried(request),
       .expected = request.expected,
       .long_share = request.long_share,
-      .reach = go_far ? Distance::kOtherRegion : Distance::kSameRegion};
+      .reach = go_far ? Distance::kOtherRegion : Distance::kSameRegion,
+      .placed = IsPlaced(),
+      .regions = request.traits.regions};
+  if (wanted.placed) {
+    wanted.work = WorkOf(request.traits);
+  }
   Choice choice = service->pool.Choose(now, wanted);
   if (!choice.backend.IsValid() && !wanted.exclude.empty()) {
     wanted.exclude = {};
@@ -169,6 +190,26 @@
   return choice;
 }
 
+uint8_t DispatcherCore::MostAttempts(const Request& request) const {
+  const uint8_t wanted = request.traits.max_attempts > 0
+                             ? request.traits.max_attempts
+                             : init_.tuning.max_attempts;
+  return std::min<uint8_t>(wanted, static_cast<uint8_t>(kAttemptsKept));
+}
+
+WorkKey DispatcherCore::KeyOf(const RequestTraits& traits, bool warm) {
+  const bool other = traits.object != 0 && !warm;
+  return {traits.service, traits.request_class,
+          other ? ~traits.path_hash : traits.path_hash};
+}
+
+PlacementWork DispatcherCore::WorkOf(const RequestTraits& traits) const {
+  return {.object = traits.object,
+          .warm = learner_.Expected(KeyOf(traits, true)),
+          .cold = learner_.Expected(KeyOf(traits, false)),
+          .typical = learner_.TypicalShort(traits.service)};
+}
+
 std::span<const BackendId> DispatcherCore::Tried(const Request& request) const {
   return {request.tried.data(),
           std::min<size_t>(request.history.attempts, kAttemptsKept)};
--- a/src/steer/dispatch_attempt.cc
+++ b/src/steer/dispatch_attempt.cc
@@ -34,7 +34,16 @@
                                     report.reported_free_slots -
                                     backend.in_flight);
   }
-  if (report.leaving) {
+  if (report.load) {
+    const uint32_t ended = IsTerminal(report.event) ? 1 : 0;
+    backend.OnLoadHeader(
+        now, *report.load,
+        backend.in_flight - std::min(backend.in_flight, ended));
+  }
+  if (report.cold_left) {
+    backend.cold_until = std::max(backend.cold_until, now + *report.cold_left);
+  }
+  if (report.leaving || report.other_backend) {
     backend.MarkLeaving();
     MarkRebuild(backend.service);
   }
@@ -65,17 +74,20 @@
   attempt->request = handle;
   attempt->backend = choice.backend;
   attempt->service = traits.service;
-  attempt->key = {traits.service, traits.request_class, traits.path_hash};
+  Service* service = FindService(traits.service);
+  const bool warm =
+      service->pool.warm_objects().IsWarm(traits.object, choice.backend, now);
+  attempt->object = traits.object;
+  attempt->key = KeyOf(traits, warm);
   attempt->lane = request->lane;
-  attempt->expected = request->expected;
+  attempt->expected = learner_.Expected(attempt->key);
   attempt->started = now;
   Backend& backend = backends_[choice.backend.value];
   // Latencies of unknown work can't be compared.
   attempt->excluded = !learner_.KnowsClass(attempt->key);
   if (!attempt->excluded) {
-    backend.slowness.OnStart(now, request->expected);
+    backend.slowness.OnStart(now, attempt->expected);
   }
-  Service* service = FindService(traits.service);
   service->pool.OnStart(&backend, request->lane);
   request->open[request->history.open_attempts] = attempt_handle;
   request->tried[request->history.attempts] = choice.backend;
@@ -85,7 +97,7 @@
   const double factor = choice.trial ? 1
                                      : std::max(init_.tuning.min_hedge_factor,
                                                 service->hedge_factor.Get());
-  if (request->lane == Lane::kShort) {
+  if (request->lane == Lane::kShort && init_.tuning.hedge_ratio > 0) {
     request->hedge_at =
         now + Duration(static_cast<int64_t>(
                   factor * static_cast<double>(request->expected.count())));
@@ -122,6 +134,11 @@
   if (answered) {
     backend.OnProgress(now);
     ++backend.served;
+    if (attempt.object != 0 && !report.failed) {
+      FindService(attempt.service)
+          ->pool.warm_objects()
+          .OnServed(attempt.object, attempt.backend, now);
+    }
     LearnFrom(now, attempt);
   }
   if (RefusedForLoad(report)) {
@@ -177,6 +194,9 @@
     request->history.any_may_have_run = true;
   }
   if (report.event == AttemptEvent::kAnswered) {
+    if (report.failed && ReplaceFailed(now, attempt.request, request, ended)) {
+      return;
+    }
     if (!request->delivering.IsValid()) {
       Deliver(attempt.request, request, ended);
     }
@@ -195,6 +215,27 @@
   }
 }
 
+// Sends an idempotent request once more in place of an error that a backend
+// server has answered. Returns false when the error is to be delivered.
+bool DispatcherCore::ReplaceFailed(TimePoint now,
+                                   RequestHandle handle,
+                                   Request* request,
+                                   AttemptHandle failed) {
+  if (request->closing || request->delivering.IsValid() ||
+      now + request->expected >= request->traits.deadline ||
+      !request->traits.idempotent ||
+      !MayResend(request->history, MostAttempts(*request)) ||
+      !FindService(request->traits.service)->retry_budget.Take()) {
+    return false;
+  }
+  ++stats_.resends;
+  actions_.push_back({.type = ActionType::kCancelAttempt,
+                      .request = handle,
+                      .attempt = failed});
+  Enqueue(now, handle, request);
+  return true;
+}
+
 void DispatcherCore::ResendOrReject(TimePoint now,
                                     RequestHandle handle,
                                     Request* request,
@@ -209,13 +250,14 @@
   const RejectReason reason = event == AttemptEvent::kRefused
                                   ? RejectReason::kOverloaded
                                   : RejectReason::kAttemptFailed;
-  const uint8_t most = std::min<uint8_t>(init_.tuning.max_attempts,
-                                         static_cast<uint8_t>(kAttemptsKept));
+  const uint8_t most = MostAttempts(*request);
   if (!MayResend(request->history, most)) {
     Reject(handle, request, reason, RetryAfter(service, request->lane));
     return;
   }
-  if (!retry_budget_.Take()) {
+  // Where no connection could be made, nothing has arrived.
+  if (event != AttemptEvent::kConnectFailed &&
+      !FindService(service)->retry_budget.Take()) {
     ++stats_.resends_denied;
     Reject(handle, request, reason, RetryAfter(service, request->lane));
     return;
@@ -258,8 +300,7 @@
                               Request* request) {
   Service* service = FindService(request->traits.service);
   request->hedge_at = now + request->expected;
-  const uint8_t most = std::min<uint8_t>(init_.tuning.max_attempts,
-                                         static_cast<uint8_t>(kAttemptsKept));
+  const uint8_t most = MostAttempts(*request);
   // Free slots belong to waiting requests first.
   const bool others_wait =
       service->queues[static_cast<size_t>(Lane::kShort)].size() > 0;
--- a/src/steer/dispatch_core.cc
+++ b/src/steer/dispatch_core.cc
@@ -16,7 +16,6 @@
 
 DispatcherCore::DispatcherCore(const DispatcherInit& init)
     : init_(init),
-      retry_budget_(init.tuning.retry_ratio, init.tuning.retry_burst),
       hedge_budget_(init.tuning.hedge_ratio, init.tuning.hedge_burst),
       learner_(init.tuning.long_factor) {}
 
@@ -36,12 +35,18 @@
   if (update.backend.value >= backends_.size()) {
     backends_.resize(update.backend.value + 1);
   }
-  while (update.service.value >= services_.size()) {
-    services_.emplace_back(init_.tuning, &backends_);
-  }
+  AddServices(update.service);
   Backend& backend = backends_[update.backend.value];
   const ServiceId before = backend.service;
-  if (!backend.Apply(update)) {
+  const Incarnation life = backend.incarnation;
+  const bool changed = backend.Apply(update);
+  backend.owns_cold = ColdGate::IsOwner(backend.key, peer_nodes_);
+  if (life != backend.incarnation) {
+    services_[update.service.value].pool.warm_objects().OnRestarted(
+        update.backend);
+  }
+  if (!changed) {
+    Pump(now, update.service);
     return;
   }
   if (before != update.service) {
@@ -52,6 +57,15 @@
   Pump(now, update.service);
 }
 
+void DispatcherCore::AddServices(ServiceId service) {
+  const auto count =
+      static_cast<double>(std::max<size_t>(1, peer_nodes_.live.size()));
+  while (service.value >= services_.size()) {
+    services_.emplace_back(init_.tuning, &backends_);
+    services_.back().retry_budget.SetBurst(init_.tuning.retry_burst / count);
+  }
+}
+
 void DispatcherCore::SetPeersInDomain(uint32_t rank, uint32_t count) {
   peers_ = {.rank = rank, .count = std::max(1U, count)};
   for (Service& service : services_) {
@@ -60,15 +74,25 @@
   rebuild_ = true;
 }
 
+void DispatcherCore::SetPeerNodes(const PeerNodes& peers) {
+  peer_nodes_ = peers;
+  const auto count =
+      static_cast<double>(std::max<size_t>(1, peers.live.size()));
+  for (Service& service : services_) {
+    service.retry_budget.SetBurst(init_.tuning.retry_burst / count);
+  }
+  for (Backend& backend : backends_) {
+    backend.owns_cold = ColdGate::IsOwner(backend.key, peers);
+  }
+}
+
 void DispatcherCore::SetSlotLimit(ServiceId service,
                                   DomainId domain,
                                   Slots limit) {
   if (service.value >= limits::kMaxServices) {
     return;
   }
-  while (service.value >= services_.size()) {
-    services_.emplace_back(init_.tuning, &backends_);
-  }
+  AddServices(service);
   if (services_[service.value].pool.SetLimit(domain, limit.value)) {
     MarkRebuild(service);
   }
@@ -240,6 +264,9 @@
 }
 
 void DispatcherCore::SendProbes(TimePoint now) {
+  if (init_.tuning.probe_share <= 0) {
+    return;
+  }
   for (Backend& backend : backends_) {
     if (!backend.suspect || backend.state != BackendState::kLive ||
         now < backend.next_probe) {
--- a/src/steer/dispatch_core.h
+++ b/src/steer/dispatch_core.h
@@ -32,6 +32,7 @@
   void SetRules(TimePoint now, const RuleSet& rules) override;
   void UpdateBackend(TimePoint now, const BackendUpdate& update) override;
   void SetPeersInDomain(uint32_t rank, uint32_t count) override;
+  void SetPeerNodes(const PeerNodes& peers) override;
   void SetSlotLimit(ServiceId service, DomainId domain, Slots limit) override;
   void StopAdmitting() override { admitting_ = false; }
   RequestHandle Submit(TimePoint now, const RequestTraits& traits) override;
@@ -70,6 +71,7 @@
     BackendId backend;
     ServiceId service;
     WorkKey key;
+    uint64_t object = 0;
     Lane lane = Lane::kShort;
     Duration expected{0};
     TimePoint started;
@@ -81,8 +83,11 @@
 
   struct Service {
     Service(const DispatchTuning& tuning, std::vector<Backend>* backends)
-        : pool(tuning, backends), hedge_factor(tuning.hedge_quantile) {}
+        : pool(tuning, backends),
+          retry_budget(tuning.retry_ratio, tuning.retry_burst),
+          hedge_factor(tuning.hedge_quantile) {}
     ServicePool pool;
+    RetryBudget retry_budget;
     std::array<FairQueue, kLanes> queues;
     QuantileEstimate hedge_factor;
     bool needs_rebuild = false;
@@ -107,6 +112,13 @@
   bool StartNext(TimePoint now, Service* service, Lane lane);
   Choice ChooseFor(TimePoint now, Service* service, const Request& request);
   std::span<const BackendId> Tried(const Request& request) const;
+  uint8_t MostAttempts(const Request& request) const;
+  bool IsPlaced() const { return init_.tuning.placement.enabled; }
+  // Key that the time of work on an object is learned by.
+  static WorkKey KeyOf(const RequestTraits& traits, bool warm);
+  PlacementWork WorkOf(const RequestTraits& traits) const;
+  // Adds services up to `service`.
+  void AddServices(ServiceId service);
   Service* FindService(ServiceId service);
   const Service* FindService(ServiceId service) const;
 
@@ -127,6 +139,10 @@
                        AttemptHandle ended,
                        const Attempt& attempt,
                        const AttemptReport& report);
+  bool ReplaceFailed(TimePoint now,
+                     RequestHandle handle,
+                     Request* request,
+                     AttemptHandle failed);
   void ResendOrReject(TimePoint now,
                       RequestHandle handle,
                       Request* request,
@@ -154,7 +170,6 @@
   void MarkRebuild(ServiceId service);
 
   DispatcherInit init_;
-  RetryBudget retry_budget_;
   RetryBudget hedge_budget_;
   DurationLearner learner_;
   std::vector<Backend> backends_;
@@ -165,6 +180,7 @@
   std::deque<Action> actions_;
   TimePoint next_interval_;
   PeerPlace peers_;
+  PeerNodes peer_nodes_;
   bool admitting_ = true;
   bool rebuild_ = false;
   uint32_t queued_ = 0;
--- a/src/steer/retry_budget.h
+++ b/src/steer/retry_budget.h
@@ -23,6 +23,12 @@
     return true;
   }
 
+  // Changes what unused attempts the budget keeps.
+  void SetBurst(double burst) {
+    burst_ = burst;
+    tokens_ = std::min(tokens_, burst);
+  }
+
   double Available() const { return tokens_; }
 
  private:
