--- a/include/comfreystand/log.h
+++ b/include/comfreystand/log.h
@@ -33,6 +33,13 @@
 // after an empty one is. Call it from the loop's thread only.
 void SetLogSink(LogSink sink);
 
+// Sets the least level that is worth writing; all until it is set.
+void SetLogLevel(LogLevel level);
+
+// Whether an entry of `level` would be written, so that its fields are worth
+// gathering.
+bool LogEnabled(LogLevel level);
+
 // Writes an entry. Call it from the loop's thread only.
 void LogStateChange(std::string_view component,
                     std::string_view event,
--- a/include/comfreystand/relay_protocol.h
+++ b/include/comfreystand/relay_protocol.h
@@ -33,6 +33,8 @@
   std::string path;
   // Query without its question mark.
   std::string query;
+  // A question mark stands in the target, with or without a query behind it.
+  bool has_query = false;
   std::vector<HeaderField> headers;
   bool http11 = true;
   // Bytes of the body, or -1 when it comes in chunks.
@@ -105,6 +107,8 @@
   std::string ticket;
   // The caller's own name of this attempt; empty when it gave none.
   std::string request_id;
+  // Name of the route that the request matched; empty when there are none.
+  std::string route;
   // Until when the caller waits, when that differs from traits.deadline.
   TimePoint caller_deadline{};
   // Length of the body, or -1 when it comes in chunks.
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -10,8 +10,21 @@
   return sink;
 }
 
+LogLevel& LeastLevel() {
+  static LogLevel level = LogLevel::kDebug;
+  return level;
+}
+
 }  // namespace
 
+void SetLogLevel(LogLevel level) {
+  LeastLevel() = level;
+}
+
+bool LogEnabled(LogLevel level) {
+  return CurrentSink() && level >= LeastLevel();
+}
+
 void SetLogSink(LogSink sink) {
   CurrentSink() = std::move(sink);
 }
@@ -20,7 +33,7 @@
                     std::string_view event,
                     const std::vector<LogField>& fields,
                     LogLevel level) {
-  if (CurrentSink()) {
+  if (LogEnabled(level)) {
     CurrentSink()({level, component, event, fields});
   }
 }
--- a/src/cli/logging.cc
+++ b/src/cli/logging.cc
@@ -80,6 +80,7 @@
   log4cxx::BasicConfigurator::configure(appender);
   const log4cxx::LoggerPtr logger = log4cxx::Logger::getRootLogger();
   logger->setLevel(ToLog4cxx(level));
+  SetLogLevel(level);
   SetLogSink([logger, format](const LogEntry& entry) {
     const log4cxx::LevelPtr entry_level = ToLog4cxx(entry.level);
     if (logger->isEnabledFor(entry_level)) {
--- a/src/edge/caller_connection.cc
+++ b/src/edge/caller_connection.cc
@@ -195,16 +195,15 @@
       Self(parser)->incoming_->head.method.append(data, size);
       return 0;
     };
-    hooks.uri = [](htparser* parser, const char* data, size_t size) {
-      Self(parser)->incoming_->head.target.append(data, size);
-      return 0;
-    };
     hooks.path = [](htparser* parser, const char* data, size_t size) {
       Self(parser)->incoming_->head.path.append(data, size);
       return 0;
     };
     hooks.args = [](htparser* parser, const char* data, size_t size) {
-      Self(parser)->incoming_->head.query.append(data, size);
+      // Called for an empty query too.
+      RequestHead& head = Self(parser)->incoming_->head;
+      head.query.append(data, size);
+      head.has_query = true;
       return 0;
     };
     hooks.hdr_key = [](htparser* parser, const char* data, size_t size) {
@@ -284,6 +283,7 @@
   RequestHead& head = incoming_->head;
   head.http11 = htparser_get_minor(parser_.get()) >= 1;
   head.caller_address = address_;
+  head.target = head.has_query ? head.path + "?" + head.query : head.path;
   if (!ReadFraming()) {
     bad_framing_ = true;
     return -1;
--- a/src/edge/relay.cc
+++ b/src/edge/relay.cc
@@ -59,7 +59,8 @@
       reply_, protocol_->FormatRefusal(refusal, &spec_,
                                        connection_->MayKeepAlive(reply_)));
   state_ = State::kFinished;
-  host_->OnRelayFinished(this, refusal.verdict);
+  status_ = refusal.status;
+  host_->OnRelayFinished(this, refusal.verdict, RequestEnd::kRefused);
   connection_->Finish(reply_);
 }
 
@@ -270,6 +271,7 @@
 
 void Relay::OnHead(const AnswerHead& head) {
   delivered_verdict_ = VerdictOf(head.status);
+  status_ = head.status;
   if (connection_) {
     connection_->Write(reply_, AnswerHeadText(head));
   }
@@ -307,7 +309,7 @@
   if (connection_ && chunked_answer_) {
     connection_->Write(reply_, "0\r\n\r\n");
   }
-  host_->OnRelayFinished(this, delivered_verdict_);
+  host_->OnRelayFinished(this, delivered_verdict_, RequestEnd::kAnswered);
   if (connection_) {
     connection_->Finish(reply_);
   }
@@ -317,7 +319,7 @@
   delivering_ = nullptr;
   state_ = State::kFinished;
   host_->CountFault(Fault::kAnswerTruncated);
-  host_->OnRelayFinished(this, RunVerdict::kMayHaveRun);
+  host_->OnRelayFinished(this, RunVerdict::kMayHaveRun, RequestEnd::kCutOff);
   if (connection_) {
     connection_->Break();
   }
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYSTAND_SRC_EDGE_RELAY_H_
 #define COMFREYSTAND_SRC_EDGE_RELAY_H_
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,12 +13,17 @@
 
 class Relay;
 
+// How a request ended.
+enum class RequestEnd : uint8_t { kAnswered, kRefused, kCutOff, kCallerLeft };
+
 // What a relay needs from the server that owns it.
 class RelayHost {
  public:
   virtual ~RelayHost() = default;
   // The caller has its whole answer, or never will.
-  virtual void OnRelayFinished(Relay* relay, RunVerdict verdict) = 0;
+  virtual void OnRelayFinished(Relay* relay,
+                               RunVerdict verdict,
+                               RequestEnd end) = 0;
   // The caller went away or sent what can't be relayed.
   virtual void OnRelayAborted(Relay* relay) = 0;
   // The caller's connection let go of the request: the relay is to be
@@ -58,6 +64,19 @@
   // Answers now.
   void Refuse(const Refusal& refusal);
 
+  // What became of one attempt, for the log.
+  struct AttemptNote {
+    AttemptHandle handle;
+    std::string backend;
+    TimePoint started;
+    TimePoint ended;
+    steer::AttemptEvent event = steer::AttemptEvent::kWritten;
+    std::optional<steer::LoadHeader> load;
+  };
+  std::vector<AttemptNote>& notes() { return notes_; }
+  // Status of the answer that the caller got; 0 while there is none.
+  int status() const { return status_; }
+
   // Sends the request as `attempt`.
   void Feed(Attempt* attempt, HttpConnection* connection);
   void ForgetAttempt(Attempt* attempt);
@@ -108,6 +127,8 @@
   std::vector<Attempt*> feeds_;
   Attempt* delivering_ = nullptr;
   RunVerdict delivered_verdict_ = RunVerdict::kRan;
+  int status_ = 0;
+  std::vector<AttemptNote> notes_;
   bool chunked_answer_ = false;
 };
 
--- a/src/edge/server_actions.cc
+++ b/src/edge/server_actions.cc
@@ -2,6 +2,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "src/edge/request_log.h"
 #include "src/edge/server_impl.h"
 
 // The dispatcher's side of the server: actions, attempts, probes and load
@@ -80,6 +81,13 @@
       std::move(facts), protocol_, init_.max_answer_body_bytes,
       init_.cancel_timeout, this);
   Attempt* attempt = owned.get();
+  if (relay) {
+    relay->notes().push_back({.handle = action.attempt,
+                              .backend = attempt->facts().backend_name,
+                              .started = now,
+                              .ended = {},
+                              .load = {}});
+  }
   attempts_[action.attempt] = std::move(owned);
   ++stats_.attempts;
   if (!relay || relay->state() != Relay::State::kPending) {
@@ -214,10 +222,26 @@
     ++stats_.late_answers;
     attempt->Discard();
   }
+  NoteReport(*attempt, report);
   dispatcher_->OnAttempt(clock_->Now(), attempt->identity().handle, report);
   Poke();
 }
 
+void Server::Impl::NoteReport(const Attempt& attempt,
+                              const steer::AttemptReport& report) {
+  Relay* relay = FindRelay(attempt.identity().request);
+  if (!relay) {
+    return;
+  }
+  for (Relay::AttemptNote& note : relay->notes()) {
+    if (note.handle == attempt.identity().handle) {
+      note.event = report.event;
+      note.ended = clock_->Now();
+      note.load = report.load;
+    }
+  }
+}
+
 void Server::Impl::OnAttemptDrained(Attempt* attempt) {
   if (Relay* relay = FindRelay(attempt->identity().request)) {
     relay->OnAttemptDrained();
@@ -233,14 +257,18 @@
   Poke();
 }
 
-void Server::Impl::OnRelayFinished(Relay* relay, RunVerdict verdict) {
+void Server::Impl::OnRelayFinished(Relay* relay,
+                                   RunVerdict verdict,
+                                   RequestEnd end) {
   ++stats_.verdicts[static_cast<size_t>(verdict)];
+  LogRequest(relay, end, clock_->Now());
   by_handle_.erase(relay->handle());
   relay->DiscardAttempts();
 }
 
 void Server::Impl::OnRelayAborted(Relay* relay) {
   if (by_handle_.erase(relay->handle()) > 0) {
+    LogRequest(relay, RequestEnd::kCallerLeft, clock_->Now());
     dispatcher_->CancelRequest(clock_->Now(), relay->handle());
     relay->DiscardAttempts();
     Poke();
--- a/src/edge/server_impl.h
+++ b/src/edge/server_impl.h
@@ -55,7 +55,9 @@
   Stats GetStats() const;
 
   // RelayHost:
-  void OnRelayFinished(Relay* relay, RunVerdict verdict) override;
+  void OnRelayFinished(Relay* relay,
+                       RunVerdict verdict,
+                       RequestEnd end) override;
   void OnRelayAborted(Relay* relay) override;
   void OnRelayReleased(Relay* relay) override;
   void CountFault(Fault fault) override;
@@ -93,6 +95,7 @@
   bool CheckTicket(const RelayRequest& spec, Refusal* refusal);
 
   void Pump();
+  void NoteReport(const Attempt& attempt, const steer::AttemptReport& report);
   void HandleDeferred();
   void SetWakeup(TimePoint now);
   void OnStartAttempt(const steer::Action& action);
