--- a/include/comfreystand/steer/dispatch.h
+++ b/include/comfreystand/steer/dispatch.h
@@ -173,9 +173,6 @@
   // be better by.
   Duration other_domain_cost{8'000};
   Duration other_region_cost{60'000};
-  // Part of the gain of a warm object that the common order of the backend
-  // servers counts for when none is known to be warm.
-  double order_weight = 0.5;
   // Longest share of its goal that a request may wait at the node.
   double max_wait_share = 0.5;
 };
--- a/src/edge/request_log.cc
+++ b/src/edge/request_log.cc
@@ -12,13 +12,13 @@
 constexpr int kFirstError = 400;
 
 // Indexed by RequestEnd.
-constexpr std::array<std::string_view, 4> kEndNames = {"answered", "refused",
-                                                       "cut-off", "caller-left"};
+constexpr std::array<std::string_view, 4> kEndNames = {
+    "answered", "refused", "cut-off", "caller-left"};
 
 // Indexed by steer::AttemptEvent.
 constexpr std::array<std::string_view, 7> kEventNames = {
-    "open",          "answer-begun",           "answered",
-    "not-run",       "cancelled-before-start", "no-connection",
+    "open",    "answer-begun",           "answered",
+    "not-run", "cancelled-before-start", "no-connection",
     "broken"};
 
 int64_t Millis(Duration duration) {
@@ -60,17 +60,17 @@
     attempts += attempts.empty() ? "" : "; ";
     attempts += Describe(note, traits.arrival, now);
   }
-  LogStateChange("relay", "request",
-                 {{"id", spec.request_id},
-                  {"route", spec.route},
-                  {"end", std::string(kEndNames[static_cast<size_t>(end)])},
-                  {"status", std::to_string(relay->status())},
-                  {"ms", std::to_string(Millis(now - traits.arrival))},
-                  {"limit_ms", std::to_string(
-                                   Millis(traits.deadline - traits.arrival))},
-                  {"object", std::to_string(traits.object)},
-                  {"attempts", attempts}},
-                 level);
+  LogStateChange(
+      "relay", "request",
+      {{"id", spec.request_id},
+       {"route", spec.route},
+       {"end", std::string(kEndNames[static_cast<size_t>(end)])},
+       {"status", std::to_string(relay->status())},
+       {"ms", std::to_string(Millis(now - traits.arrival))},
+       {"limit_ms", std::to_string(Millis(traits.deadline - traits.arrival))},
+       {"object", std::to_string(traits.object)},
+       {"attempts", attempts}},
+      level);
 }
 
 }  // namespace comfreystand::edge
--- a/src/steer/admission_learn.cc
+++ b/src/steer/admission_learn.cc
@@ -48,6 +48,11 @@
   return TypicalShort(key.service);
 }
 
+bool DurationLearner::Knows(const WorkKey& key) const {
+  const Entry* entry = Find(key);
+  return entry != nullptr && entry->count >= kMinObservations;
+}
+
 bool DurationLearner::KnowsClass(const WorkKey& key) const {
   return key.service.value < class_.size() &&
          class_[key.service.value][key.request_class.value].count >=
--- a/src/steer/admission_learn.h
+++ b/src/steer/admission_learn.h
@@ -32,6 +32,9 @@
   // that of its class.
   Duration Expected(const WorkKey& key) const;
 
+  // True when work under `key` itself has been seen often enough.
+  bool Knows(const WorkKey& key) const;
+
   // True when Expected() rests on work of the same class.
   bool KnowsClass(const WorkKey& key) const;
 
--- a/src/steer/balance_pool.cc
+++ b/src/steer/balance_pool.cc
@@ -44,19 +44,24 @@
   return true;
 }
 
+// Whether the backend server stands in a region that may serve the request.
+bool ServicePool::InRegions(const Member& member,
+                            const ChoiceRequest& request) const {
+  const RegionId region = loads_[member.load].region;
+  return request.regions == 0 ||
+         (region.IsValid() && (request.regions >> region.value & 1) != 0);
+}
+
 // Whether a request that is placed by its object may start there now.
 bool ServicePool::HasPlace(TimePoint now,
                            const Member& member,
                            const ChoiceRequest& request) const {
   const Backend& backend = At(member.backend);
-  const DomainLoad& load = loads_[member.load];
   if (backend.state != BackendState::kLive || backend.suspended ||
       now < backend.refused_until || Contains(request.exclude, backend.id)) {
     return false;
   }
-  if (request.regions != 0 &&
-      (!load.region.IsValid() ||
-       (request.regions >> load.region.value & 1) == 0)) {
+  if (!InRegions(member, request)) {
     return false;
   }
   if (now < backend.cold_until) {
@@ -67,7 +72,23 @@
          backend.slots + tuning_->placement.backlog;
 }
 
+PlacementOrder ServicePool::OrderFor(const ChoiceRequest& request) const {
+  PlacementOrder order(request.work.object);
+  for (const Member& member : members_) {
+    const Backend& backend = At(member.backend);
+    if (backend.state == BackendState::kLive && !backend.suspended &&
+        InRegions(member, request)) {
+      order.Add(backend.key,
+                loads_[member.load].distance != Distance::kOtherRegion);
+    }
+  }
+  return order;
+}
+
 Choice ServicePool::ChoosePlaced(TimePoint now, const ChoiceRequest& request) {
+  const bool has_object = request.work.object != 0;
+  const PlacementOrder order =
+      has_object ? OrderFor(request) : PlacementOrder(0);
   Backend* best = nullptr;
   double best_cost = 0;
   for (const Member& member : members_) {
@@ -87,10 +108,13 @@
     const double relative = backend.slowness.Get(now) / median_;
     const Distance distance = loads_[member.load].distance;
     const PlacementCandidate candidate = {
-        .key = backend.key,
         .busy = backend.in_flight + backend.ExpectedForeign(now),
         .slots = backend.slots,
-        .warm = warm_objects_.IsWarm(request.work.object, backend.id, now),
+        .warm = has_object
+                    ? WarmLikelihood(order.PlaceOf(backend.key),
+                                     warm_objects_.IsWarm(request.work.object,
+                                                          backend.id, now))
+                    : 0,
         .slowness = std::max(backend.WorkFactor(now),
                              relative > kSlownessDeadband ? relative : 1),
         .same_domain = distance == Distance::kOwnDomain,
--- a/src/steer/balance_pool.h
+++ b/src/steer/balance_pool.h
@@ -134,6 +134,8 @@
               const ChoiceRequest& request) const;
   // Choice among the holders of an object and all others.
   Choice ChoosePlaced(TimePoint now, const ChoiceRequest& request);
+  PlacementOrder OrderFor(const ChoiceRequest& request) const;
+  bool InRegions(const Member& member, const ChoiceRequest& request) const;
   bool HasPlace(TimePoint now,
                 const Member& member,
                 const ChoiceRequest& request) const;
--- a/src/steer/dispatch_admit.cc
+++ b/src/steer/dispatch_admit.cc
@@ -10,6 +10,12 @@
 // its deadline.
 constexpr int kStartMargin = 2;
 
+// What work takes in percent of its goal until some has been seen: where its
+// object is warm, and where it is not.
+constexpr int kWarmOfGoal = 45;
+constexpr int kColdOfGoal = 140;
+constexpr int kPercent = 100;
+
 }  // namespace
 
 RequestHandle DispatcherCore::Submit(TimePoint now,
@@ -204,10 +210,20 @@
 }
 
 PlacementWork DispatcherCore::WorkOf(const RequestTraits& traits) const {
-  return {.object = traits.object,
-          .warm = learner_.Expected(KeyOf(traits, true)),
-          .cold = learner_.Expected(KeyOf(traits, false)),
-          .typical = learner_.TypicalShort(traits.service)};
+  const WorkKey warm = KeyOf(traits, true);
+  const WorkKey cold = KeyOf(traits, false);
+  PlacementWork work = {.object = traits.object,
+                        .warm = traits.goal * kWarmOfGoal / kPercent,
+                        .cold = traits.goal * kColdOfGoal / kPercent,
+                        .typical = traits.goal * kWarmOfGoal / kPercent};
+  if (learner_.Knows(warm)) {
+    work.warm = learner_.Expected(warm);
+    work.typical = learner_.TypicalShort(traits.service);
+  }
+  if (learner_.Knows(cold)) {
+    work.cold = learner_.Expected(cold);
+  }
+  return work;
 }
 
 std::span<const BackendId> DispatcherCore::Tried(const Request& request) const {
