--- a/src/gateway/backend_registry.cc
+++ b/src/gateway/backend_registry.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "comfreystand/limits.h"
+#include "comfreystand/log.h"
 
 namespace comfreystand::gateway {
 namespace {
@@ -31,6 +32,13 @@
   record->incarnation = Incarnation{next_incarnation_++};
   record->state = steer::BackendState::kLive;
   record->cold_until = now + entry.cold_left;
+  LogStateChange("backend", "registered",
+                 {{"name", entry.name},
+                  {"service", entry.service},
+                  {"domain", entry.domain},
+                  {"address", entry.address},
+                  {"born_ms", std::to_string(entry.born_ms)},
+                  {"cold_ms", std::to_string(entry.cold_left.count() / 1'000)}});
 }
 
 void BackendRegistry::Put(const BackendEntry& entry, TimePoint now) {
@@ -71,6 +79,7 @@
   }
   if (entry.state == BackendEntry::State::kDraining && !drained) {
     record.state = steer::BackendState::kLeaving;
+    LogStateChange("backend", "draining", {{"name", entry.name}});
   }
   Publish(record);
 }
@@ -81,14 +90,29 @@
       found->second.state == steer::BackendState::kGone) {
     return;
   }
-  if (!trust_.Trusts(now)) {
-    found->second.missing = true;
-    return;
+  Record& record = found->second;
+  record.missing = true;
+  if (trust_.Trusts(now) || MostAreRegistered(record.entry.service)) {
+    Finish(&record);
+  }
+}
+
+// A store that lost registrations lost those of most; single ones that are
+// missing have left.
+bool BackendRegistry::MostAreRegistered(const std::string& service) const {
+  size_t registered = 0;
+  size_t missing = 0;
+  for (const auto& [name, record] : records_) {
+    if (record.entry.service == service &&
+        record.state != steer::BackendState::kGone) {
+      ++(record.missing ? missing : registered);
+    }
   }
-  Finish(&found->second);
+  return registered > missing;
 }
 
 void BackendRegistry::Finish(Record* record) {
+  LogStateChange("backend", "gone", {{"name", record->entry.name}});
   record->missing = false;
   record->state = steer::BackendState::kGone;
   Publish(*record);
--- a/src/gateway/backend_registry.h
+++ b/src/gateway/backend_registry.h
@@ -59,6 +59,7 @@
   };
 
   BackendId NewId();
+  bool MostAreRegistered(const std::string& service) const;
   void StartLife(Record* record, const BackendEntry& entry, TimePoint now);
   void Finish(Record* record);
   void Publish(const Record& record);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -95,7 +95,6 @@
   }
 
   void OnBackendRemoved(const std::string& name) {
-    LogStateChange("backend", "removed", {{"name", name}});
     backends_.Remove(name, loop_->Now());
     PublishSoon();
     SettleLater();
--- a/src/steer/balance_evaluate.cc
+++ b/src/steer/balance_evaluate.cc
@@ -19,6 +19,11 @@
 constexpr double kLeastMedian = 0.7;
 // Finished trials that easing back starts from.
 constexpr double kTrialEvidence = 0.9;
+// Time for which a loss of capacity lets requests move faster.
+constexpr std::chrono::seconds kLooseAfterLoss{5};
+// Part of what the own region's slots fall short of its share of failure
+// domains that is sent to other regions from the first request on.
+constexpr double kInitialShift = 0.4;
 
 Distance DistanceTo(const DispatcherInit& init, DomainId domain) {
   if (domain == init.domain) {
@@ -32,6 +37,19 @@
   return same_region ? Distance::kSameRegion : Distance::kOtherRegion;
 }
 
+// Share of the failure domains that stand in the node's region.
+double OwnRegionWeight(const DispatcherInit& init) {
+  const auto& domains = init.rules.domains;
+  if (init.domain.value >= domains.size()) {
+    return 0;
+  }
+  const RegionId own = domains[init.domain.value].region;
+  const auto count =
+      std::count_if(domains.begin(), domains.end(),
+                    [own](const DomainRule& d) { return d.region == own; });
+  return static_cast<double>(count) / static_cast<double>(domains.size());
+}
+
 }  // namespace
 
 void ServicePool::Rebuild(const DispatcherInit& init,
@@ -39,6 +57,7 @@
                           PeerPlace peers,
                           uint32_t connections) {
   peers_ = peers;
+  region_weight_ = OwnRegionWeight(init);
   members_.clear();
   std::vector<DomainLoad> old_loads;
   old_loads.swap(loads_);
@@ -155,8 +174,31 @@
   return std::max(kLeastMedian, *middle);
 }
 
+// Follows the capacity of the own region.
+void ServicePool::UpdateRegionShift(TimePoint now) {
+  uint32_t own = 0;
+  uint32_t all = 0;
+  for (const Member& member : members_) {
+    const Backend& backend = At(member.backend);
+    const bool serves = !backend.suspended && !backend.suspect;
+    const bool near = loads_[member.load].distance != Distance::kOtherRegion;
+    all += serves ? backend.slots : 0;
+    own += serves && near ? backend.slots : 0;
+  }
+  if (own < region_slots_) {
+    region_shift_.Loosen(now + kLooseAfterLoss);
+  }
+  region_slots_ = own;
+  has_region_ = own > 0;
+  if (all > 0 && region_weight_ > 0) {
+    const double covered = static_cast<double>(own) / all / region_weight_;
+    region_shift_.SetInitialShare(kInitialShift * std::max(0.0, 1 - covered));
+  }
+}
+
 void ServicePool::Evaluate(TimePoint now, DispatcherStats* stats) {
   median_ = MedianSlowness(now);
+  UpdateRegionShift(now);
   uint32_t warm = 0;
   ejected_ = 0;
   for (DomainLoad& load : loads_) {
--- a/src/steer/balance_pool.cc
+++ b/src/steer/balance_pool.cc
@@ -85,12 +85,33 @@
   return order;
 }
 
+double ServicePool::PlacedCost(TimePoint now,
+                               const Member& member,
+                               const PlacementOrder& order,
+                               const PlacementWork& work) {
+  const Backend& backend = At(member.backend);
+  const double relative = backend.slowness.Get(now) / median_;
+  const Distance distance = loads_[member.load].distance;
+  PlacementCandidate candidate = {
+      .busy = backend.in_flight + backend.ExpectedForeign(now),
+      .slots = backend.slots,
+      .slowness = std::max(backend.WorkFactor(now),
+                           relative > kSlownessDeadband ? relative : 1),
+      .same_domain = distance == Distance::kOwnDomain,
+      .same_region = distance != Distance::kOtherRegion};
+  if (work.object != 0) {
+    candidate.warm =
+        WarmLikelihood(order.PlaceOf(backend.key),
+                       warm_objects_.IsWarm(work.object, backend.id, now));
+  }
+  return PlacementCost(candidate, work, tuning_->placement);
+}
+
 Choice ServicePool::ChoosePlaced(TimePoint now, const ChoiceRequest& request) {
-  const bool has_object = request.work.object != 0;
-  const PlacementOrder order =
-      has_object ? OrderFor(request) : PlacementOrder(0);
-  Backend* best = nullptr;
-  double best_cost = 0;
+  const PlacementOrder order = OrderFor(request);
+  // The best of the own region and of the others.
+  std::array<Backend*, 2> best = {nullptr, nullptr};
+  std::array<double, 2> cost = {0, 0};
   for (const Member& member : members_) {
     Backend& backend = At(member.backend);
     if (!HasPlace(now, member, request)) {
@@ -105,34 +126,43 @@
     if (backend.suspect || backend.IsEjected()) {
       continue;
     }
-    const double relative = backend.slowness.Get(now) / median_;
-    const Distance distance = loads_[member.load].distance;
-    const PlacementCandidate candidate = {
-        .busy = backend.in_flight + backend.ExpectedForeign(now),
-        .slots = backend.slots,
-        .warm = has_object
-                    ? WarmLikelihood(order.PlaceOf(backend.key),
-                                     warm_objects_.IsWarm(request.work.object,
-                                                          backend.id, now))
-                    : 0,
-        .slowness = std::max(backend.WorkFactor(now),
-                             relative > kSlownessDeadband ? relative : 1),
-        .same_domain = distance == Distance::kOwnDomain,
-        .same_region = distance != Distance::kOtherRegion};
-    const double cost =
-        PlacementCost(candidate, request.work, tuning_->placement);
-    if (best == nullptr || cost < best_cost) {
-      best = &backend;
-      best_cost = cost;
+    const bool remote = loads_[member.load].distance == Distance::kOtherRegion;
+    const double here = PlacedCost(now, member, order, request.work);
+    if (best[remote] == nullptr || here < cost[remote]) {
+      best[remote] = &backend;
+      cost[remote] = here;
     }
   }
-  if (best == nullptr) {
+  return ChooseRegion(now, best, cost);
+}
+
+// Chooses between the best of the own region and of the others, within the
+// bound on shifts between regions.
+Choice ServicePool::ChooseRegion(TimePoint now,
+                                 const std::array<Backend*, 2>& best,
+                                 const std::array<double, 2>& cost) {
+  if (best[0] == nullptr && best[1] == nullptr) {
     return {};
   }
-  if (now < best->cold_until) {
-    best->cold_gate.OnStart(now);
+  const bool wants_remote =
+      best[0] == nullptr || (best[1] != nullptr && cost[1] < cost[0]);
+  bool remote = wants_remote;
+  if (has_region_) {
+    remote = region_shift_.GoesRemote(now, wants_remote);
+  }
+  if (best[remote] == nullptr) {
+    if (remote) {
+      remote = false;
+    } else {
+      return {};
+    }
+  }
+  region_shift_.OnPlaced(remote);
+  Backend* chosen = best[remote];
+  if (now < chosen->cold_until) {
+    chosen->cold_gate.OnStart(now);
   }
-  return {.backend = best->id};
+  return {.backend = chosen->id};
 }
 
 Choice ServicePool::Choose(TimePoint now, const ChoiceRequest& request) {
--- a/src/steer/balance_pool.h
+++ b/src/steer/balance_pool.h
@@ -12,6 +12,7 @@
 #include "src/steer/admission_learn.h"
 #include "src/steer/balance_backend.h"
 #include "src/steer/placement.h"
+#include "src/steer/region_shift.h"
 #include "src/steer/warm_objects.h"
 
 namespace comfreystand::steer {
@@ -132,6 +133,14 @@
   double Cost(TimePoint now,
               const Member& member,
               const ChoiceRequest& request) const;
+  double PlacedCost(TimePoint now,
+                    const Member& member,
+                    const PlacementOrder& order,
+                    const PlacementWork& work);
+  Choice ChooseRegion(TimePoint now,
+                      const std::array<Backend*, 2>& best,
+                      const std::array<double, 2>& cost);
+  void UpdateRegionShift(TimePoint now);
   // Choice among the holders of an object and all others.
   Choice ChoosePlaced(TimePoint now, const ChoiceRequest& request);
   PlacementOrder OrderFor(const ChoiceRequest& request) const;
@@ -150,6 +159,11 @@
   // Bounds that SetLimit() has set, by failure domain.
   std::vector<std::pair<DomainId, int32_t>> limits_;
   WarmObjects warm_objects_;
+  RegionShift region_shift_{RegionShift::Init{}};
+  // Slots of the own region that are in service.
+  uint32_t region_slots_ = 0;
+  bool has_region_ = false;
+  double region_weight_ = 0;
   std::vector<double> scratch_;
   std::array<uint32_t, kLanes> lane_in_flight_{};
   PeerPlace peers_;
