--- a/src/steer/balance_pool.cc
+++ b/src/steer/balance_pool.cc
@@ -73,15 +73,16 @@
 }
 
 PlacementOrder ServicePool::OrderFor(const ChoiceRequest& request) const {
-  PlacementOrder order(request.work.object);
+  PlacementOrder order(request.work.object, region_shift_.share());
   for (const Member& member : members_) {
     const Backend& backend = At(member.backend);
     if (backend.state == BackendState::kLive && !backend.suspended &&
-        InRegions(member, request)) {
+        !backend.suspect && InRegions(member, request)) {
       order.Add(backend.key,
                 loads_[member.load].distance != Distance::kOtherRegion);
     }
   }
+  order.Finish();
   return order;
 }
 
@@ -126,6 +127,11 @@
     if (backend.suspect || backend.IsEjected()) {
       continue;
     }
+    // Work on an object elsewhere takes long and drives out other objects.
+    if (request.work.object != 0 &&
+        order.PlaceOf(backend.key) == PlacementOrder::kPlaces) {
+      continue;
+    }
     const bool remote = loads_[member.load].distance == Distance::kOtherRegion;
     const double here = PlacedCost(now, member, order, request.work);
     if (best[remote] == nullptr || here < cost[remote]) {
--- a/src/steer/dispatch_admit.cc
+++ b/src/steer/dispatch_admit.cc
@@ -145,12 +145,33 @@
   if (service == nullptr) {
     return;
   }
+  if (IsPlaced()) {
+    StartPlaced(now, service);
+    return;
+  }
   for (const Lane lane : {Lane::kShort, Lane::kLong}) {
     while (StartNext(now, service, lane)) {
     }
   }
 }
 
+// Starts all that have a place, in the order of the queue. One that has none
+// doesn't hold up those behind it, which go elsewhere.
+void DispatcherCore::StartPlaced(TimePoint now, Service* service) {
+  FairQueue& queue = service->queues[static_cast<size_t>(Lane::kShort)];
+  std::vector<QueueEntry> waiting;
+  while (const QueueEntry* front = queue.Front()) {
+    const QueueEntry entry = *front;
+    if (!StartNext(now, service, Lane::kShort)) {
+      waiting.push_back(entry);
+      queue.PopFront();
+    }
+  }
+  for (const QueueEntry& entry : waiting) {
+    queue.Restore(entry);
+  }
+}
+
 bool DispatcherCore::StartNext(TimePoint now, Service* service, Lane lane) {
   FairQueue& queue = service->queues[static_cast<size_t>(lane)];
   const QueueEntry* front = queue.Front();
--- a/src/steer/dispatch_core.h
+++ b/src/steer/dispatch_core.h
@@ -110,6 +110,7 @@
   Duration RetryAfter(ServiceId service, Lane lane) const;
   void Pump(TimePoint now, ServiceId service);
   bool StartNext(TimePoint now, Service* service, Lane lane);
+  void StartPlaced(TimePoint now, Service* service);
   Choice ChooseFor(TimePoint now, Service* service, const Request& request);
   std::span<const BackendId> Tried(const Request& request) const;
   uint8_t MostAttempts(const Request& request) const;
--- a/src/steer/placement.cc
+++ b/src/steer/placement.cc
@@ -1,5 +1,6 @@
 #include "src/steer/placement.h"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -25,31 +26,46 @@
 constexpr std::array<double, PlacementOrder::kPlaces + 1> kWarmByPlace = {
     0.85, 0.45, 0.15, 0};
 constexpr double kSeenWarm = 0.97;
+constexpr uint64_t kHomeSalt = 0x686f6d65;
 
 }  // namespace
 
-bool PlacementOrder::Before(const Entry& a, const Entry& b) {
-  if (a.same_region != b.same_region) {
-    return a.same_region;
+PlacementOrder::PlacementOrder(uint64_t object, double remote_share)
+    : object_(object),
+      remote_home_(HashToUnit(StableHash(object, kHomeSalt)) < remote_share) {}
+
+void PlacementOrder::Side::Add(Entry entry) {
+  for (size_t i = 0; i < count; ++i) {
+    if (entry.rank > first[i].rank) {
+      std::swap(entry, first[i]);
+    }
+  }
+  if (count < kPlaces) {
+    first[count++] = entry;
   }
-  return a.rank > b.rank;
 }
 
 void PlacementOrder::Add(uint64_t key, bool same_region) {
-  Entry entry = {key, StableHash(object_, key), same_region};
-  for (size_t i = 0; i < count_; ++i) {
-    if (Before(entry, first_[i])) {
-      std::swap(entry, first_[i]);
-    }
+  (same_region ? near_ : far_).Add({key, StableHash(object_, key)});
+}
+
+void PlacementOrder::Finish() {
+  const Side& home = remote_home_ ? far_ : near_;
+  const Side& other = remote_home_ ? near_ : far_;
+  const size_t from_home =
+      std::min(home.count, kPlaces - std::min<size_t>(1, other.count));
+  const size_t from_other = std::min(other.count, kPlaces - from_home);
+  for (size_t i = 0; i < from_home; ++i) {
+    places_[count_++] = home.first[i].key;
   }
-  if (count_ < kPlaces) {
-    first_[count_++] = entry;
+  for (size_t i = 0; i < from_other; ++i) {
+    places_[count_++] = other.first[i].key;
   }
 }
 
 size_t PlacementOrder::PlaceOf(uint64_t key) const {
   for (size_t i = 0; i < count_; ++i) {
-    if (first_[i].key == key) {
+    if (places_[i] == key) {
       return i;
     }
   }
--- a/src/steer/placement.h
+++ b/src/steer/placement.h
@@ -37,29 +37,40 @@
   Duration typical{0};
 };
 
-// The first backend servers in an object's order, those of the own region
-// before all others.
+// The backend servers that may hold an object, first choice first. An object
+// has a home side, the own region or the others; two places are on that side
+// and one on the other. Few places keep what all nodes warm up within what the
+// backend servers hold.
 class PlacementOrder {
  public:
-  // Places that count; backend servers behind them are not kept warm.
   static constexpr size_t kPlaces = 3;
 
-  explicit PlacementOrder(uint64_t object) : object_(object) {}
+  // `remote_share` is the part of the objects whose home is in other regions.
+  PlacementOrder(uint64_t object, double remote_share);
 
   void Add(uint64_t key, bool same_region);
-  // Place of a backend server, or kPlaces when it is behind them.
+  // Settles the places; to be called after the last Add().
+  void Finish();
+  // Place of a backend server, or kPlaces when it has none.
   size_t PlaceOf(uint64_t key) const;
 
  private:
   struct Entry {
     uint64_t key = 0;
     uint64_t rank = 0;
-    bool same_region = false;
   };
-  static bool Before(const Entry& a, const Entry& b);
+  // The best of one side, best first.
+  struct Side {
+    std::array<Entry, kPlaces> first{};
+    size_t count = 0;
+    void Add(Entry entry);
+  };
 
   const uint64_t object_;
-  std::array<Entry, kPlaces> first_{};
+  const bool remote_home_;
+  Side near_;
+  Side far_;
+  std::array<uint64_t, kPlaces> places_{};
   size_t count_ = 0;
 };
 
