Homes of objects follow the load between regions; spills bounded

Change: the part of the objects whose home is elsewhere starts at what the slots fall short by and follows how busy the two sides are; spills are 6 % at most. Waiting requests that can still meet their goal go first.

--- a/include/comfreystand/steer/dispatch.h
+++ b/include/comfreystand/steer/dispatch.h
@@ -173,8 +173,8 @@
   // be better by.
   Duration other_domain_cost{8'000};
   Duration other_region_cost{60'000};
-  // Longest share of its goal that a request may wait at the node.
-  double max_wait_share = 0.5;
+  // Longest wait at the node, in multiples of the request's goal.
+  double max_wait = 0.5;
 };
 
 // Parameters of the decisions; docs/TUNING.md says what each one trades.
--- a/src/steer/balance_evaluate.cc
+++ b/src/steer/balance_evaluate.cc
@@ -23,7 +23,7 @@
 constexpr std::chrono::seconds kLooseAfterLoss{5};
 // Part of what the own region's slots fall short of its share of failure
 // domains that is sent to other regions from the first request on.
-constexpr double kInitialShift = 0.4;
+constexpr double kInitialShift = 0.8;
 
 Distance DistanceTo(const DispatcherInit& init, DomainId domain) {
   if (domain == init.domain) {
@@ -176,24 +176,35 @@
 
 // Follows the capacity of the own region.
 void ServicePool::UpdateRegionShift(TimePoint now) {
-  uint32_t own = 0;
-  uint32_t all = 0;
+  struct Side {
+    uint32_t slots = 0;
+    double busy = 0;
+    double Pressure() const { return slots == 0 ? 1 : busy / slots; }
+  };
+  Side own;
+  Side others;
   for (const Member& member : members_) {
     const Backend& backend = At(member.backend);
-    const bool serves = !backend.suspended && !backend.suspect;
+    if (backend.suspended || backend.suspect) {
+      continue;
+    }
     const bool near = loads_[member.load].distance != Distance::kOtherRegion;
-    all += serves ? backend.slots : 0;
-    own += serves && near ? backend.slots : 0;
+    Side& side = near ? own : others;
+    side.slots += backend.slots;
+    side.busy += backend.in_flight + backend.ExpectedForeign(now);
   }
-  if (own < region_slots_) {
+  if (own.slots < region_slots_) {
     region_shift_.Loosen(now + kLooseAfterLoss);
   }
-  region_slots_ = own;
-  has_region_ = own > 0;
+  region_slots_ = own.slots;
+  has_region_ = own.slots > 0;
+  const uint32_t all = own.slots + others.slots;
   if (all > 0 && region_weight_ > 0) {
-    const double covered = static_cast<double>(own) / all / region_weight_;
+    const double covered =
+        static_cast<double>(own.slots) / all / region_weight_;
     region_shift_.SetInitialShare(kInitialShift * std::max(0.0, 1 - covered));
   }
+  region_shift_.Steer(now, {own.Pressure(), others.Pressure()});
 }
 
 void ServicePool::Evaluate(TimePoint now, DispatcherStats* stats) {
--- a/src/steer/balance_pool.cc
+++ b/src/steer/balance_pool.cc
@@ -139,32 +139,24 @@
       cost[remote] = here;
     }
   }
-  return ChooseRegion(now, best, cost);
+  return ChooseSide(now, order.remote_home(), best, cost);
 }
 
-// Chooses between the best of the own region and of the others, within the
-// bound on shifts between regions.
-Choice ServicePool::ChooseRegion(TimePoint now,
-                                 const std::array<Backend*, 2>& best,
-                                 const std::array<double, 2>& cost) {
-  if (best[0] == nullptr && best[1] == nullptr) {
+// Chooses between the best of the own region and of the others. The side away
+// from the object's home is taken within the bound on spills only.
+Choice ServicePool::ChooseSide(TimePoint now,
+                               bool home,
+                               const std::array<Backend*, 2>& best,
+                               const std::array<double, 2>& cost) {
+  const bool wants_spill = best[home] == nullptr ||
+                           (best[!home] != nullptr && cost[!home] < cost[home]);
+  const bool spills =
+      wants_spill && (!has_region_ || region_shift_.MaySpill(now));
+  Backend* chosen = best[spills ? !home : home];
+  if (chosen == nullptr) {
     return {};
   }
-  const bool wants_remote =
-      best[0] == nullptr || (best[1] != nullptr && cost[1] < cost[0]);
-  bool remote = wants_remote;
-  if (has_region_) {
-    remote = region_shift_.GoesRemote(now, wants_remote);
-  }
-  if (best[remote] == nullptr) {
-    if (remote) {
-      remote = false;
-    } else {
-      return {};
-    }
-  }
-  region_shift_.OnPlaced(remote);
-  Backend* chosen = best[remote];
+  region_shift_.OnPlaced(spills);
   if (now < chosen->cold_until) {
     chosen->cold_gate.OnStart(now);
   }
--- a/src/steer/balance_pool.h
+++ b/src/steer/balance_pool.h
@@ -137,9 +137,10 @@
                     const Member& member,
                     const PlacementOrder& order,
                     const PlacementWork& work);
-  Choice ChooseRegion(TimePoint now,
-                      const std::array<Backend*, 2>& best,
-                      const std::array<double, 2>& cost);
+  Choice ChooseSide(TimePoint now,
+                    bool home,
+                    const std::array<Backend*, 2>& best,
+                    const std::array<double, 2>& cost);
   void UpdateRegionShift(TimePoint now);
   // Choice among the holders of an object and all others.
   Choice ChoosePlaced(TimePoint now, const ChoiceRequest& request);
@@ -159,7 +160,7 @@
   // Bounds that SetLimit() has set, by failure domain.
   std::vector<std::pair<DomainId, int32_t>> limits_;
   WarmObjects warm_objects_;
-  RegionShift region_shift_{RegionShift::Init{}};
+  RegionShift region_shift_;
   // Slots of the own region that are in service.
   uint32_t region_slots_ = 0;
   bool has_region_ = false;
--- a/src/steer/dispatch_admit.cc
+++ b/src/steer/dispatch_admit.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <tuple>
 
 #include "comfreystand/limits.h"
 #include "src/steer/dispatch_core.h"
@@ -85,7 +86,7 @@
   request->latest_start = std::max(now + (deadline - now) / 2,
                                    deadline - kStartMargin * request->expected);
   if (IsPlaced() && request->traits.goal.count() > 0) {
-    const double wait = init_.tuning.placement.max_wait_share *
+    const double wait = init_.tuning.placement.max_wait *
                         static_cast<double>(request->traits.goal.count());
     request->latest_start = std::min(
         request->latest_start, now + Duration(static_cast<int64_t>(wait)));
@@ -155,21 +156,54 @@
   }
 }
 
-// Starts all that have a place, in the order of the queue. One that has none
-// doesn't hold up those behind it, which go elsewhere.
+// Order of waiting requests: those that can still meet their goal first, then
+// by priority, then by age.
+struct DispatcherCore::Waiting {
+  QueueEntry entry;
+  bool late = false;
+  TimePoint arrival;
+
+  bool operator<(const Waiting& other) const {
+    return std::tuple(late, -entry.priority, arrival, entry.request) <
+           std::tuple(other.late, -other.entry.priority, other.arrival,
+                      other.entry.request);
+  }
+};
+
+// Starts all that have a place. One that has none doesn't hold up those behind
+// it, which go elsewhere.
 void DispatcherCore::StartPlaced(TimePoint now, Service* service) {
   FairQueue& queue = service->queues[static_cast<size_t>(Lane::kShort)];
-  std::vector<QueueEntry> waiting;
+  std::vector<Waiting> waiting;
   while (const QueueEntry* front = queue.Front()) {
-    const QueueEntry entry = *front;
-    if (!StartNext(now, service, Lane::kShort)) {
-      waiting.push_back(entry);
-      queue.PopFront();
+    const Request* request = requests_.Find(front->request);
+    const RequestTraits& traits = request->traits;
+    const bool late = traits.goal.count() > 0 &&
+                      now + request->expected > traits.arrival + traits.goal;
+    waiting.push_back({*front, late, traits.arrival});
+    queue.PopFront();
+  }
+  std::sort(waiting.begin(), waiting.end());
+  for (const Waiting& next : waiting) {
+    if (!StartRequest(now, service, next.entry.request)) {
+      queue.Restore(next.entry);
     }
   }
-  for (const QueueEntry& entry : waiting) {
-    queue.Restore(entry);
+}
+
+// Starts a request that has left its queue. Returns false when it has no place.
+bool DispatcherCore::StartRequest(TimePoint now,
+                                  Service* service,
+                                  RequestHandle handle) {
+  Request* request = requests_.Find(handle);
+  const Choice choice = ChooseFor(now, service, *request);
+  if (!choice.backend.IsValid()) {
+    return false;
   }
+  request->queued = false;
+  --queued_;
+  StartAttempt(now, handle, request, choice);
+  return true;
 }
 
 bool DispatcherCore::StartNext(TimePoint now, Service* service, Lane lane) {
@@ -178,16 +212,11 @@
   if (front == nullptr) {
     return false;
   }
-  const RequestHandle handle = front->request;
-  Request* request = requests_.Find(handle);
-  const Choice choice = ChooseFor(now, service, *request);
-  if (!choice.backend.IsValid()) {
+  const QueueEntry entry = *front;
+  if (!StartRequest(now, service, entry.request)) {
     return false;
   }
-  queue.PopFront();
-  request->queued = false;
-  --queued_;
-  StartAttempt(now, handle, request, choice);
+  queue.Remove(entry.request);
   return true;
 }
 
--- a/src/steer/dispatch_core.h
+++ b/src/steer/dispatch_core.h
@@ -110,7 +110,9 @@
   Duration RetryAfter(ServiceId service, Lane lane) const;
   void Pump(TimePoint now, ServiceId service);
   bool StartNext(TimePoint now, Service* service, Lane lane);
+  struct Waiting;
   void StartPlaced(TimePoint now, Service* service);
+  bool StartRequest(TimePoint now, Service* service, RequestHandle handle);
   Choice ChooseFor(TimePoint now, Service* service, const Request& request);
   std::span<const BackendId> Tried(const Request& request) const;
   uint8_t MostAttempts(const Request& request) const;
--- a/src/steer/placement.h
+++ b/src/steer/placement.h
@@ -51,6 +51,8 @@
   void Add(uint64_t key, bool same_region);
   // Settles the places; to be called after the last Add().
   void Finish();
+  // Whether the object's home is in other regions.
+  bool remote_home() const { return remote_home_; }
   // Place of a backend server, or kPlaces when it has none.
   size_t PlaceOf(uint64_t key) const;
 
--- a/src/steer/region_shift.cc
+++ b/src/steer/region_shift.cc
@@ -5,13 +5,21 @@
 namespace comfreystand::steer {
 namespace {
 
-// Weight of one request in the share that is wanted.
-constexpr double kWantedWeight = 0.05;
-// Requests by which the share may run ahead or behind.
-constexpr double kMostAhead = 1.5;
-constexpr double kMostBehind = 1.5;
-// Multiple of the slope while capacity is missing.
-constexpr double kLooseFactor = 10;
+// Busy share of the own slots above which objects leave, and below which they
+// come back.
+constexpr double kCrowded = 0.8;
+constexpr double kIdle = 0.45;
+// Other regions must be less busy by this much to be sent objects.
+constexpr double kLeastGap = 0.1;
+// Largest changes of the share a second.
+constexpr double kLeaveSlope = 0.04;
+constexpr double kReturnSlope = 0.015;
+constexpr double kMostShare = 0.9;
+// Share of the requests that may spill, and how many may be saved up.
+constexpr double kSpillShare = 0.06;
+constexpr double kMostCredit = 2;
+// Multiple of the slopes while capacity is missing.
+constexpr double kLooseFactor = 5;
 constexpr double kMicrosPerSecond = 1e6;
 
 }  // namespace
@@ -19,34 +27,32 @@
 void RegionShift::SetInitialShare(double share) {
   if (!started_) {
     share_ = share;
-    wanted_ = share;
   }
 }
 
-void RegionShift::Move(TimePoint now) {
+void RegionShift::Steer(TimePoint now, const Pressure& pressure) {
+  const double seconds = std::min(
+      1.0, static_cast<double>((now - steered_at_).count()) / kMicrosPerSecond);
+  steered_at_ = now;
   if (!started_) {
-    started_ = true;
-    moved_at_ = now;
     return;
   }
-  const double seconds = std::min(
-      1.0, static_cast<double>((now - moved_at_).count()) / kMicrosPerSecond);
-  moved_at_ = now;
   const double factor = now < loose_until_ ? kLooseFactor : 1;
-  const double most = init_.slope * factor * seconds;
-  share_ += std::clamp(wanted_ - share_, -most, most);
+  if (pressure.own > kCrowded && pressure.others + kLeastGap < pressure.own) {
+    share_ = std::min(kMostShare, share_ + kLeaveSlope * factor * seconds);
+  } else if (pressure.own < kIdle) {
+    share_ = std::max(0.0, share_ - kReturnSlope * factor * seconds);
+  }
 }
 
-bool RegionShift::GoesRemote(TimePoint now, bool wants_remote) {
-  wanted_ += ((wants_remote ? 1.0 : 0.0) - wanted_) * kWantedWeight;
-  Move(now);
-  const double due = credit_ + share_;
-  return wants_remote ? due > 1 - kMostAhead : due > kMostBehind;
+bool RegionShift::MaySpill(TimePoint now) const {
+  return credit_ >= 1 || now < loose_until_;
 }
 
-void RegionShift::OnPlaced(bool remote) {
-  credit_ = std::clamp(credit_ + share_ - (remote ? 1.0 : 0.0), -kMostAhead,
-                       kMostBehind + 1);
+void RegionShift::OnPlaced(bool spilled) {
+  started_ = true;
+  credit_ = std::clamp(credit_ + kSpillShare - (spilled ? 1.0 : 0.0), 0.0,
+                       kMostCredit);
 }
 
 }  // namespace comfreystand::steer
--- a/src/steer/region_shift.h
+++ b/src/steer/region_shift.h
@@ -5,48 +5,43 @@
 
 namespace comfreystand::steer {
 
-// Bounds how fast the share of requests that are served in other regions
-// changes, in both directions. Every node of a region bounds its own share, so
-// the region's share changes no faster. The share is held exactly over any run
-// of requests, so that chance adds nothing to a change.
+// Decides which part of the objects has its home in other regions, where the
+// own region has too few slots for its callers. The part follows the load, but
+// moves slowly, so that few requests change their region at a time. Single
+// requests may spill to the other side within a small share of all.
 class RegionShift {
  public:
-  struct Init {
-    // Largest change of the share a second.
-    double slope = 0.055;
-    // Share to begin with.
-    double share = 0;
+  // Busy share of the slots of the own region and of all others.
+  struct Pressure {
+    double own = 0;
+    double others = 0;
   };
 
-  explicit RegionShift(const Init& init) : init_(init), share_(init.share) {}
-
-  // Begins anew from a share, as long as no request has been placed.
+  // Begins with a share, as long as no request has been placed.
   void SetInitialShare(double share);
 
-  // A request can be placed; `wants_remote` tells where it would go without
-  // the bound. Returns whether it goes to another region.
-  bool GoesRemote(TimePoint now, bool wants_remote);
+  // Moves the share towards where there is room.
+  void Steer(TimePoint now, const Pressure& pressure);
+
+  // Whether a request may leave the side of its object's home.
+  bool MaySpill(TimePoint now) const;
 
-  // The request went there.
-  void OnPlaced(bool remote);
+  // A request was placed on its object's home side, or on the other.
+  void OnPlaced(bool spilled);
 
-  // The own region has lost capacity: until then the share may change faster.
+  // Capacity was lost: until then requests may leave freely, and the share
+  // may move faster.
   void Loosen(TimePoint until) { loose_until_ = until; }
 
+  // Part of the objects whose home is in other regions.
   double share() const { return share_; }
 
  private:
-  void Move(TimePoint now);
-
-  const Init init_;
-  // Share of requests that go to other regions.
   double share_ = 0;
-  // Share that would go there without the bound; fades.
-  double wanted_ = 0;
-  // Requests due to go there that have not.
+  // Requests that may spill now.
   double credit_ = 0;
   bool started_ = false;
-  TimePoint moved_at_{};
+  TimePoint steered_at_{};
   TimePoint loose_until_{};
 };
 
