--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -15,7 +15,7 @@
 // Callers come back for a new answer this often.
 constexpr std::chrono::milliseconds kAnswerTtl{2'000};
 // A stop refuses new requests from here on; callers have turned elsewhere.
-constexpr std::chrono::milliseconds kRefuseAfter{3'200};
+constexpr std::chrono::milliseconds kRefuseAfter{2'800};
 constexpr std::chrono::milliseconds kStopStep{50};
 // Left of the grace time when the process ends with requests in flight.
 constexpr std::chrono::milliseconds kStopMargin{300};
