One client of the platform: key-value store and VM list over its protocol

The store and VM-list clients of an invented protocol are gone; the product's KeyValueStore and VmList are served by the platform's store, and the stand-in speaks its published protocol (pages, watches with 410, transactions, leases, outages, lost and late answers). The VM-list stand-in is gone. The setting vm-list went with it: counts of missing settings in two tests fall by one each.

--- a/include/comfreystand/settings.h
+++ b/include/comfreystand/settings.h
@@ -46,7 +46,6 @@
 
   // [platform]
   NumericAddress store_address;
-  NumericAddress vm_list_address;
   Duration store_timeout = limits::kStoreCallTimeout;
   Duration vm_list_interval = std::chrono::seconds(1);
   PerSecond store_call_rate{5};
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -36,15 +36,20 @@
 }
 
 start store "$standin" store 127.0.0.1:0
-start vmlist "$standin" vmlist 127.0.0.1:0
 store=127.0.0.1:$(first_line store)
-vmlist=127.0.0.1:$(first_line vmlist)
 # shellcheck disable=SC2207
 ports=($("$standin" ports 4))
 
 domains=(western-a western-a western-b central-a central-b southern-a southern-b)
-vms=""
-add_vm() { vms="$vms${vms:+,}{\"name\":\"$1\",\"address\":\"$2\",\"domain\":\"$3\",\"service\":\"$4\",\"role\":\"$5\",\"state\":\"live\"}"; }
+# Registrations in the store: of a backend server, and of an entry VM.
+entries=""
+add_entry() { entries="$entries${entries:+,}\"$1\":$2"; }
+add_backend() { # name address domain service
+  add_entry "servers/$1" "{\"service\":\"$4\",\"address\":\"$2\",\"zone\":\"$3\",\"version\":\"v1\",\"capacity\":3,\"state\":\"ready\",\"coldLeftMs\":0,\"sequence\":1}"
+}
+add_node() { # name address domain
+  add_entry "nodes/$1" "{\"address\":\"$2\",\"domain\":\"$3\",\"region\":\"${3%-*}\"}"
+}
 
 backends=0
 desk_backends=
@@ -53,7 +58,7 @@
     backends=$((backends + 1))
     start "backend-$backends" "$standin" backend
     [ "$1" = bay-desk ] && desk_backends="$desk_backends${desk_backends:+,}$(first_line "backend-$backends")"
-    add_vm "$1-$backends" "$(first_line "backend-$backends")" "$2" "$1" backend
+    add_backend "$1-$backends" "$(first_line "backend-$backends")" "$2" "$1"
   done
 }
 for domain in western-a western-b central-a central-b; do start_backends bay-desk $domain 3; done
@@ -61,9 +66,9 @@
 for domain in western-a western-b central-a central-b southern-a southern-b; do start_backends float-register $domain 2; done
 
 for i in "${!domains[@]}"; do
-  add_vm "entry-$i" "127.0.0.$((11 + i)):${ports[0]}" "${domains[$i]}" "" entry
+  add_node "entry-$i" "127.0.0.$((11 + i)):${ports[0]}" "${domains[$i]}"
 done
-curl -sf -X PUT --data "[$vms]" "http://$vmlist/v1/vms"
+curl -sf -X POST --data "{\"put\":{$entries}}" "http://$store/control"
 "$bin" rules bootstrap examples/float-keepers.rules --store "$store" --requested-by operations
 
 token=$(od -An -N16 -tx1 /dev/urandom | tr -d ' \n')
@@ -87,7 +92,6 @@
 metrics = $ip:${ports[3]}
 [platform]
 store = $store
-vm-list = $vmlist
 [peers]
 seed = ${seeds%, }
 [admin]
--- a/src/cli/bootstrap_verb.cc
+++ b/src/cli/bootstrap_verb.cc
@@ -6,7 +6,7 @@
 #include "comfreystand/acceptance.h"
 #include "comfreystand/event_loop.h"
 #include "comfreystand/limits.h"
-#include "comfreystand/platform_http.h"
+#include "comfreystand/platform_store.h"
 #include "src/cli/files.h"
 #include "src/cli/verbs.h"
 
@@ -31,8 +31,8 @@
   if (!text.has_value())
     return ExitCode::kFailed;
   EventLoop loop;
-  platform::HttpKeyValueStore store(loop.base(), invocation.Get("store"));
-  platform::Acceptance acceptance({}, loop, store);
+  platform::PlatformStore store(loop.base(), &loop, invocation.Get("store"));
+  platform::Acceptance acceptance({}, loop, store.keys());
   AcceptResult result;
   acceptance.Propose(OriginOf(invocation), *text,
                      [&](const AcceptResult& accepted) {
--- a/src/cli/settings_table.cc
+++ b/src/cli/settings_table.cc
@@ -57,9 +57,7 @@
      "Address that other nodes are told; when left out, that of peer."},
 
     {"platform", "store", &S::store_address, kRequired, kFixedPort, 0,
-     "The platform's key-value service."},
-    {"platform", "vm-list", &S::vm_list_address, kRequired, kFixedPort, 0,
-     "The platform's list of VMs."},
+     "The platform's store."},
     {"platform", "store-timeout", &S::store_timeout, kOptional,
      10 * kMillisecond, kMinute,
      "Time after which a call to the store counts as lost."},
--- a/src/gateway/backend_registry.cc
+++ b/src/gateway/backend_registry.cc
@@ -32,13 +32,14 @@
   record->incarnation = Incarnation{next_incarnation_++};
   record->state = steer::BackendState::kLive;
   record->cold_until = now + entry.cold_left;
-  LogStateChange("backend", "registered",
-                 {{"name", entry.name},
-                  {"service", entry.service},
-                  {"domain", entry.domain},
-                  {"address", entry.address},
-                  {"born_ms", std::to_string(entry.born_ms)},
-                  {"cold_ms", std::to_string(entry.cold_left.count() / 1'000)}});
+  LogStateChange(
+      "backend", "registered",
+      {{"name", entry.name},
+       {"service", entry.service},
+       {"domain", entry.domain},
+       {"address", entry.address},
+       {"born_ms", std::to_string(entry.born_ms)},
+       {"cold_ms", std::to_string(entry.cold_left.count() / 1'000)}});
 }
 
 void BackendRegistry::Put(const BackendEntry& entry, TimePoint now) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -41,8 +41,7 @@
 Node::Impl::Impl(EventLoop* loop, const NodeSettings& settings)
     : loop_(loop),
       settings_(settings),
-      store_(loop->base(), settings.store_address.text),
-      vm_list_(loop->base(), settings.vm_list_address.text),
+      store_(loop->base(), loop, settings.store_address.text),
       names_(settings.domain),
       lookup_(LookupInit(settings)),
       stop_(StopInit(settings)) {}
@@ -68,10 +67,10 @@
   StartMembership();
   StartRules();
   StartDispatch();
-  hours_ = std::make_unique<HoursFeed>(settings_, loop_, &clock_, &store_,
+  hours_ = std::make_unique<HoursFeed>(settings_, loop_, &clock_, &store_.keys(),
                                        transport_.get(), membership_.get());
   vm_feed_ = std::make_unique<VmFeed>(
-      &vm_list_, transport_.get(),
+      &store_.vms(), transport_.get(),
       [this](const std::vector<platform::VmEntry>& vms) { OnVmList(vms); });
   peer_server_ = std::make_unique<peer::GrpcServer>(
       loop_, settings_.peer_address.text, tls,
@@ -111,13 +110,13 @@
 
 void Node::Impl::StartRules() {
   acceptance_ = std::make_unique<platform::Acceptance>(
-      platform::AcceptanceInit{}, *loop_, store_);
+      platform::AcceptanceInit{}, *loop_, store_.keys());
   member::RuleSpreadInit init;
   init.seed = static_cast<uint64_t>(settings_.node_id) + 1;
   init.confirm_audit = [this] {
     acceptance_->ConfirmAudit([](platform::StoreStatus) {});
   };
-  spread_ = std::make_unique<member::RuleSpread>(init, *loop_, store_,
+  spread_ = std::make_unique<member::RuleSpread>(init, *loop_, store_.keys(),
                                                  *transport_, *membership_);
   spread_->SetListener(
       [this](const RuleDocument& document) { InstallRules(document); });
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -14,7 +14,7 @@
 #include "comfreystand/grpc_peer.h"
 #include "comfreystand/member.h"
 #include "comfreystand/node.h"
-#include "comfreystand/platform_http.h"
+#include "comfreystand/platform_store.h"
 #include "comfreystand/rules.h"
 #include "comfreystand/settings.h"
 #include "comfreystand/steer/change.h"
@@ -80,8 +80,7 @@
   EventLoop* loop_;
   const NodeSettings settings_;
   SystemClock clock_;
-  platform::HttpKeyValueStore store_;
-  platform::HttpVmList vm_list_;
+  platform::PlatformStore store_;
   std::unique_ptr<VmFeed> vm_feed_;
   std::unique_ptr<peer::GrpcTransport> transport_;
   std::unique_ptr<peer::GrpcServer> peer_server_;
--- a/src/platform_http/http_vm_list.cc
+++ b/src/node/vm_codec.cc
@@ -1,16 +1,13 @@
+#include "src/node/vm_codec.h"
+
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "comfreystand/limits.h"
-#include "comfreystand/platform_http.h"
-
-namespace comfreystand::platform {
+namespace comfreystand::node {
 namespace {
 
 using nlohmann::json;
-
-constexpr int kHttpOk = 200;
-constexpr int kHttpNotModified = 304;
+using platform::VmEntry;
 
 bool ReadString(const json& object, const char* name, std::string* value) {
   const auto found = object.find(name);
@@ -66,34 +63,4 @@
   return true;
 }
 
-HttpVmList::HttpVmList(event_base* base, std::string address)
-    : client_(base, std::move(address)) {}
-
-StoreStatus HttpVmList::Take(const http::Response& response) {
-  if (response.outcome != http::Outcome::kAnswered)
-    return StoreStatus::kUnavailable;
-  if (response.status == kHttpNotModified)
-    return StoreStatus::kOk;
-  std::vector<VmEntry> vms;
-  if (response.status != kHttpOk || !DecodeVmList(response.body, &vms))
-    return StoreStatus::kUnavailable;
-  last_ = std::move(vms);
-  const auto tag = response.headers.find("ETag");
-  entity_tag_ = tag == response.headers.end() ? std::string() : tag->second;
-  return StoreStatus::kOk;
-}
-
-void HttpVmList::Fetch(VmListCallback done) {
-  http::Request request;
-  request.target = "/v1/vms";
-  request.timeout = limits::kStoreCallTimeout;
-  if (!entity_tag_.empty())
-    request.headers["If-None-Match"] = entity_tag_;
-  client_.Call(std::move(request), [this, done = std::move(done)](
-                                       const http::Response& response) {
-    const StoreStatus status = Take(response);
-    done(status, status == StoreStatus::kOk ? last_ : std::vector<VmEntry>());
-  });
-}
-
-}  // namespace comfreystand::platform
+}  // namespace comfreystand::node
--- a/src/node/vm_feed.cc
+++ b/src/node/vm_feed.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "comfreystand/platform_http.h"
+#include "src/node/vm_codec.h"
 
 namespace comfreystand::node {
 namespace {
@@ -41,7 +41,7 @@
       return;
     if (status == StoreStatus::kOk) {
       unanswered_ = 0;
-      Take(vms, platform::EncodeVmList(vms));
+      Take(vms, EncodeVmList(vms));
     } else if (!HasList() && !fallback.empty()) {
       AskPeer(fallback[next_fallback_++ % fallback.size()]);
     }
@@ -61,7 +61,7 @@
                      unanswered_ = 0;
                      std::vector<VmEntry> vms;
                      const std::string& bytes = reply.vm_list().list();
-                     if (!bytes.empty() && platform::DecodeVmList(bytes, &vms))
+                     if (!bytes.empty() && DecodeVmList(bytes, &vms))
                        Take(vms, bytes);
                    });
 }
--- a/src/steer/dispatch_attempt.cc
+++ b/src/steer/dispatch_attempt.cc
@@ -255,9 +255,7 @@
     Reject(handle, request, reason, RetryAfter(service, request->lane));
     return;
   }
-  // Where no connection could be made, nothing has arrived.
-  if (event != AttemptEvent::kConnectFailed &&
-      !FindService(service)->retry_budget.Take()) {
+  if (!FindService(service)->retry_budget.Take()) {
     ++stats_.resends_denied;
     Reject(handle, request, reason, RetryAfter(service, request->lane));
     return;
--- /dev/null
+++ b/standins/http_server.cc
@@ -0,0 +1,226 @@
+#include "standins/http_server.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <charconv>
+#include <utility>
+
+#include "src/edge/http_connection.h"
+
+namespace comfreystand::standins {
+namespace {
+
+constexpr int kBacklog = 512;
+constexpr size_t kHeaderBytes = 65'536;
+constexpr std::chrono::minutes kPatience{10};
+
+int HexValue(char c) {
+  if (c >= '0' && c <= '9') {
+    return c - '0';
+  }
+  const char lower = static_cast<char>(c | 0x20);
+  return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
+}
+
+std::string Unescape(std::string_view text) {
+  std::string plain;
+  for (size_t i = 0; i < text.size(); ++i) {
+    const bool escaped = text[i] == '%' && i + 2 < text.size() + 0 &&
+                         HexValue(text[i + 1]) >= 0 &&
+                         HexValue(text[i + 2]) >= 0;
+    if (escaped) {
+      plain +=
+          static_cast<char>(HexValue(text[i + 1]) * 16 + HexValue(text[i + 2]));
+      i += 2;
+    } else {
+      plain += text[i];
+    }
+  }
+  return plain;
+}
+
+}  // namespace
+
+Exchange::Exchange(HttpServer* server,
+                   edge::CallerConnection* connection,
+                   edge::Reply* reply)
+    : server_(server),
+      connection_(connection),
+      reply_(reply),
+      head_(reply->head) {}
+
+std::string Exchange::Query(std::string_view name) const {
+  std::string_view rest = head_.query;
+  while (!rest.empty()) {
+    const std::string_view pair = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(pair.size() + 1, rest.size()));
+    const size_t equals = pair.find('=');
+    if (equals != std::string_view::npos && pair.substr(0, equals) == name) {
+      return Unescape(pair.substr(equals + 1));
+    }
+  }
+  return {};
+}
+
+int64_t Exchange::QueryNumber(std::string_view name) const {
+  const std::string text = Query(name);
+  int64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+void Exchange::Answer(int status,
+                      std::string_view body,
+                      const std::vector<Header>& headers) {
+  std::string text = "HTTP/1.1 " + std::to_string(status) + " " +
+                     edge::ReasonPhrase(status) + "\r\n";
+  for (const Header& header : headers) {
+    text += header.name + ": " + header.value + "\r\n";
+  }
+  text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  SendRaw(text);
+  if (head_.method != "HEAD") {
+    SendRaw(body);
+  }
+  Finish();
+}
+
+void Exchange::SendRaw(std::string_view bytes) {
+  if (connection_) {
+    connection_->Write(reply_, bytes);
+  }
+}
+
+void Exchange::Finish() {
+  if (connection_) {
+    connection_->Finish(reply_);
+  }
+}
+
+void Exchange::FinishAndClose() {
+  if (connection_) {
+    connection_->CloseAfter(reply_);
+    connection_->Finish(reply_);
+  }
+}
+
+void Exchange::Drop() {
+  if (connection_) {
+    connection_->Break();
+  }
+}
+
+void Exchange::OnRequestBody(evbuffer* data) {
+  std::string part(evbuffer_get_length(data), '\0');
+  evbuffer_remove(data, part.data(), part.size());
+  body_ += part;
+}
+
+void Exchange::OnRequestComplete() {
+  if (!server_->silent_) {
+    server_->handler_(shared_from_this());
+  }
+}
+
+void Exchange::OnCallerGone() {
+  connection_ = nullptr;
+  const ExchangePtr self = shared_from_this();
+  if (gone_) {
+    std::exchange(gone_, {})();
+  }
+  server_->open_.erase(this);
+}
+
+void Exchange::OnReplyDone() {
+  connection_ = nullptr;
+  const ExchangePtr self = shared_from_this();
+  server_->open_.erase(this);
+}
+
+HttpServer::HttpServer(event_base* base, Handler handler, Handler early)
+    : base_(base),
+      handler_(std::move(handler)),
+      early_(std::move(early)),
+      sweep_(event_new(
+          base,
+          -1,
+          0,
+          [](evutil_socket_t, short, void* self) {
+            static_cast<HttpServer*>(self)->Sweep();
+          },
+          this)) {}
+
+HttpServer::~HttpServer() {
+  listener_.reset();
+  CloseConnections();
+}
+
+uint16_t HttpServer::Listen(const std::string& address) {
+  sockaddr_in parsed;
+  if (!edge::ParseAddress(address, &parsed)) {
+    return 0;
+  }
+  listener_.reset(evconnlistener_new_bind(
+      base_,
+      [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
+        static_cast<HttpServer*>(self)->Accept(fd);
+      },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, kBacklog,
+      reinterpret_cast<sockaddr*>(&parsed), sizeof(parsed)));
+  if (!listener_) {
+    return 0;
+  }
+  socklen_t size = sizeof(parsed);
+  getsockname(evconnlistener_get_fd(listener_.get()),
+              reinterpret_cast<sockaddr*>(&parsed), &size);
+  return ntohs(parsed.sin_port);
+}
+
+void HttpServer::Accept(int fd) {
+  ++accepted_;
+  const edge::CallerBounds bounds = {.header_bytes = kHeaderBytes,
+                                     .header_timeout = kPatience,
+                                     .idle_timeout = kPatience,
+                                     .progress_timeout = kPatience};
+  auto connection =
+      std::make_unique<edge::CallerConnection>(base_, fd, 0, bounds, this);
+  edge::CallerConnection* raw = connection.get();
+  connections_.emplace(raw, std::move(connection));
+}
+
+void HttpServer::CloseConnections() {
+  while (!connections_.empty()) {
+    connections_.begin()->second->Break();
+  }
+}
+
+void HttpServer::Sweep() {
+  closed_.clear();
+}
+
+void HttpServer::OnCallerClosed(edge::CallerConnection* connection) {
+  auto node = connections_.extract(connection);
+  closed_.push_back(std::move(node.mapped()));
+  event_active(sweep_.get(), EV_TIMEOUT, 0);
+}
+
+void HttpServer::OnRequestHead(edge::CallerConnection* connection,
+                               edge::Reply* reply) {
+  const auto exchange = std::make_shared<Exchange>(this, connection, reply);
+  open_.emplace(exchange.get(), exchange);
+  reply->reader = exchange.get();
+  if (early_ && !silent_) {
+    early_(exchange);
+  }
+}
+
+void HttpServer::OnBadRequest(edge::CallerConnection* connection,
+                              edge::Reply* reply,
+                              edge::CallerFault fault) {
+  connection->Write(reply,
+                    "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
+  connection->Finish(reply);
+}
+
+}  // namespace comfreystand::standins
--- a/standins/main/standin.cc
+++ b/standins/main/standin.cc
@@ -16,15 +16,11 @@
 #include "comfreystand/event_loop.h"
 #include "standins/backend.h"
 #include "standins/store.h"
-#include "standins/vm_list.h"
 
 // Stand-ins for the platform and for backend servers, as processes. Each prints
 // the address it listens on as its first line.
 namespace {
 
-// Age of what the VM list tells.
-constexpr std::chrono::milliseconds kVmListLag(500);
-
 struct BaseDeleter {
   void operator()(event_base* base) const { event_base_free(base); }
 };
@@ -97,13 +93,6 @@
   return Serve(&loop, store.port());
 }
 
-int RunVmList(int argc, const char** argv) {
-  comfreystand::EventLoop loop;
-  const comfreystand::standins::VmListServer list(
-      &loop, argc > 1 ? argv[1] : "127.0.0.1:0", kVmListLag);
-  return Serve(&loop, list.port());
-}
-
 // Prints ports that were free on all loopback addresses a moment ago.
 int PrintPorts(int argc, const char** argv) {
   const int count = argc > 1 ? std::atoi(argv[1]) : 1;
@@ -130,9 +119,8 @@
   const char* help;
 };
 
-constexpr std::array<Verb, 4> kVerbs = {{
-    {"store", &RunStore, "the key-value service; takes A.B.C.D:PORT"},
-    {"vmlist", &RunVmList, "the VM list; takes A.B.C.D:PORT"},
+constexpr std::array<Verb, 3> kVerbs = {{
+    {"store", &RunStore, "the platform's store; takes A.B.C.D:PORT"},
     {"ports", &PrintPorts, "prints N free ports"},
     {"backend", &RunBackend, "a backend server"},
 }};
--- a/standins/store.h
+++ b/standins/store.h
@@ -2,37 +2,52 @@
 #define STANDINS_STORE_H_
 
 #include <cstdint>
-#include <functional>
+#include <deque>
 #include <map>
-#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "comfreystand/event_loop.h"
-#include "comfreystand/platform.h"
+#include "standins/http_server.h"
 
-struct evhtp;
-struct evhtp_request;
-
-// Stand-in for the platform's key-value service, for tests and trial runs.
+// Stand-in for the platform's metadata store, by its published protocol, for
+// tests and trial runs.
 namespace comfreystand::standins {
 
+// How calls fail during an outage.
+enum class Outage : uint8_t {
+  kNone,
+  // 503 to every call.
+  kBusy,
+  // 429 to every call.
+  kOverRate,
+  // Connections are reset.
+  kReset,
+  // No answer.
+  kSilent,
+};
+
 // Faults that can be switched on while it runs.
 struct StoreFaults {
-  // Every call is answered 503.
-  bool outage = false;
+  Outage outage = Outage::kNone;
   // Extra time before each answer.
   Duration delay{0};
   // Number of coming writes that take effect without an answer.
   int lost_answers = 0;
+  // Time after which such a write takes effect; at once when zero.
+  Duration late{0};
+  // Leases run out while the store is away.
+  bool leases_lapse = false;
 };
 
 struct StoreCalls {
   uint64_t reads = 0;
+  uint64_t ranges = 0;
   uint64_t writes = 0;
   uint64_t watches = 0;
-  uint64_t lists = 0;
+  uint64_t leases = 0;
+  uint64_t renewals = 0;
 };
 
 class Store {
@@ -44,56 +59,85 @@
   Store& operator=(const Store&) = delete;
 
   uint16_t port() const { return port_; }
-  void SetFaults(const StoreFaults& faults) { faults_ = faults; }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  void SetFaults(const StoreFaults& faults);
   const StoreCalls& calls() const { return calls_; }
 
+  // Writes as the operator and the backend servers do, past all faults.
+  void Put(const std::string& key, std::string value);
+  void Remove(const std::string& key);
+  bool Has(const std::string& key) const { return entries_.contains(key); }
+  // Drops the history, so that watches from before get 410.
+  void Compact();
+  // Items of one page.
+  void SetPageSize(size_t items) { page_items_ = items; }
+
  private:
   struct Entry {
     std::string value;
-    platform::Revision revision;
-    // Counts writes, so that an expiry timer knows its own.
-    uint64_t writes = 0;
+    int64_t revision = 0;
+    int64_t created = 0;
+    int64_t lease = 0;
   };
-  struct Waiter {
+  struct Event {
     std::string key;
-    uint64_t id = 0;
-    evhtp_request* request = nullptr;
+    int64_t revision = 0;
+    bool removed = false;
+    Entry entry;
+  };
+  struct Lease {
+    Duration time{0};
+    TimePoint ends;
+  };
+  struct Waiter {
+    ExchangePtr exchange;
+    std::string prefix;
+    int64_t after = 0;
   };
-  using Handler = void (Store::*)(evhtp_request* request, std::string_view key);
+  using Handler = void (Store::*)(const ExchangePtr& exchange);
   struct Route {
     std::string_view prefix;
     Handler handler;
   };
   static const Route kRoutes[];
 
-  static void OnRequest(evhtp_request* request, void* arg);
-  static uint16_t OnRequestGone(evhtp_request* request, void* arg);
-  void Dispatch(evhtp_request* request);
-  void HandleKey(evhtp_request* request, std::string_view key);
-  void HandleWatch(evhtp_request* request, std::string_view key);
-  void HandleList(evhtp_request* request, std::string_view rest);
-  void HandleControl(evhtp_request* request, std::string_view rest);
-  void HandleStats(evhtp_request* request, std::string_view rest);
-  void Read(evhtp_request* request, const std::string& key);
-  void Write(evhtp_request* request, const std::string& key);
-  void Expire(const std::string& key, uint64_t writes);
-  void WakeWaiters(const std::string& key);
-  void AnswerEntry(evhtp_request* request, const std::string& key);
-  void Answer(evhtp_request* request,
-              int status,
-              platform::Revision revision,
-              std::string body);
+  void Dispatch(const ExchangePtr& exchange);
+  void HandleKey(const ExchangePtr& exchange);
+  void HandleRange(const ExchangePtr& exchange);
+  void HandleWatch(const ExchangePtr& exchange);
+  void HandleTransaction(const ExchangePtr& exchange);
+  void HandleLease(const ExchangePtr& exchange);
+  void HandleKeep(const ExchangePtr& exchange);
+  void HandleLeaseEnd(const ExchangePtr& exchange);
+  void HandleControl(const ExchangePtr& exchange);
+  void HandleStats(const ExchangePtr& exchange);
+  // Carries out a transaction; returns the status and the body.
+  int Commit(const std::string& body, std::string* answer);
+  void Change(const std::string& key, Entry entry);
+  void Erase(const std::string& key);
+  void EndLease(int64_t lease);
+  void ExpireLeases();
+  void WakeWaiters();
+  bool AnswerEvents(const Waiter& waiter, bool even_if_none);
+  std::string ItemText(const std::string& key, const Entry& entry) const;
+  void Send(const ExchangePtr& exchange, int status, std::string body);
+  void Later(Duration delay, std::function<void()> task);
 
   EventLoop* loop_;
-  evhtp* server_ = nullptr;
+  HttpServer server_;
   uint16_t port_ = 0;
   StoreFaults faults_;
   StoreCalls calls_;
-  uint64_t last_revision_ = 0;
-  uint64_t last_waiter_ = 0;
-  std::map<std::string, Entry, std::less<>> entries_;
+  int64_t revision_ = 1;
+  int64_t next_lease_ = 1;
+  size_t page_items_ = 500;
+  std::map<std::string, Entry> entries_;
+  std::map<int64_t, Lease> leases_;
+  std::deque<Event> history_;
+  // Watches must begin at or after it.
+  int64_t compacted_ = 1;
   std::vector<Waiter> waiters_;
-  std::map<evhtp_request*, bool> open_requests_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace comfreystand::standins
--- a/tests/cli_test.cc
+++ b/tests/cli_test.cc
@@ -166,7 +166,7 @@
     CHECK(rules["errors"][0]["suggestion"] == "region");
     const auto settings = nlohmann::json::parse(
         Run({"settings", "check", "--json", bad_settings.Path()}).out);
-    CHECK(settings["errors"].size() == 9);
+    CHECK(settings["errors"].size() == 8);
   }
   SUBCASE("fails on files that can't be read") {
     CHECK(Run({"rules", "check", "/nonexistent"}).code == ExitCode::kFailed);
--- a/tests/node_test.cc
+++ b/tests/node_test.cc
@@ -10,10 +10,9 @@
 
 #include "comfreystand/acceptance.h"
 #include "comfreystand/http_client.h"
-#include "comfreystand/platform_http.h"
+#include "comfreystand/platform_store.h"
 #include "standins/backend.h"
 #include "standins/store.h"
-#include "standins/vm_list.h"
 
 namespace comfreystand {
 namespace {
@@ -59,10 +58,7 @@
 // The platform's stand-ins and one backend server on one loop.
 class Platform {
  public:
-  Platform()
-      : store_(&loop_, "127.0.0.1:0"),
-        vm_list_(&loop_, "127.0.0.1:0", Duration(0)),
-        backend_(loop_.base(), {}) {
+  Platform() : store_(&loop_, "127.0.0.1:0"), backend_(loop_.base(), {}) {
     backend_.Listen("127.0.0.1:0");
     settings_.node_name = "entry-0";
     settings_.region = "north";
@@ -71,19 +67,20 @@
     settings_.edge_address.text = FreeAddress(&loop_);
     settings_.peer_address.text = FreeAddress(&loop_);
     settings_.store_address.text = "127.0.0.1:" + std::to_string(store_.port());
-    settings_.vm_list_address.text =
-        "127.0.0.1:" + std::to_string(vm_list_.port());
     settings_.vm_list_interval = std::chrono::milliseconds(20);
-    vm_list_.Replace({{"entry-0", settings_.edge_address.text, "north-a", "",
-                       platform::VmEntry::Role::kEntry},
-                      {"desk-0", backend_.address(), "north-a", "desk",
-                       platform::VmEntry::Role::kBackend}});
+    store_.Put("nodes/entry-0",
+               R"({"address":")" + settings_.edge_address.text +
+                   R"(","domain":"north-a","region":"north"})");
+    store_.Put("servers/desk-0",
+               R"({"service":"desk","address":")" + backend_.address() +
+                   R"(","zone":"north-a","version":"v1","capacity":3,)" +
+                   R"("state":"ready","coldLeftMs":0,"sequence":1})");
   }
 
   void AcceptRules() {
-    platform::HttpKeyValueStore client(loop_.base(),
-                                       settings_.store_address.text);
-    platform::Acceptance acceptance({}, loop_, client);
+    platform::PlatformStore client(loop_.base(), &loop_,
+                                   settings_.store_address.text);
+    platform::Acceptance acceptance({}, loop_, client.keys());
     platform::ChangeOrigin origin;
     origin.change_id = "first";
     origin.requested_by = "ops";
@@ -124,7 +121,6 @@
 
   EventLoop loop_;
   standins::Store store_;
-  standins::VmListServer vm_list_;
   standins::Backend backend_;
   NodeSettings settings_;
 };
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -19,9 +19,8 @@
     "edge = 127.0.0.1:8080\n"
     "peer = 127.0.0.1:0\n"
     "[platform]\n"
-    "store = 127.0.0.1:7000\n"
-    "vm-list = [::1]:7001\n";
-constexpr int kFirstAddedLine = 12;
+    "store = [::1]:7000\n";
+constexpr int kFirstAddedLine = 11;
 
 const std::string kHash(64, 'a');
 
@@ -101,7 +100,7 @@
     }
   }
   SUBCASE("that is empty lacks every required key") {
-    CHECK(ParseSettings("").errors.size() == 8);
+    CHECK(ParseSettings("").errors.size() == 7);
   }
 }
 
@@ -198,7 +197,7 @@
   for (const SettingError& error : result.errors) {
     keys += std::to_string(error.line) + error.key + ' ';
   }
-  CHECK(keys == "1x 2domain 3id 6 8level 8edge 8peer 8store 8vm-list ");
+  CHECK(keys == "1x 2domain 3id 6 8level 8edge 8peer 8store ");
 }
 
 TEST_CASE("the description of settings in docs/SETTINGS.md is current") {
--- a/tests/vm_feed_test.cc
+++ b/tests/vm_feed_test.cc
@@ -8,8 +8,9 @@
 #include <vector>
 
 #include "comfreystand/event_loop.h"
-#include "comfreystand/platform_http.h"
-#include "standins/vm_list.h"
+#include "comfreystand/platform_store.h"
+#include "src/node/vm_codec.h"
+#include "standins/store.h"
 
 namespace comfreystand::node {
 namespace {
@@ -21,6 +22,11 @@
     "desk-0", "127.0.0.1:99",          "north-a",
     "desk",   VmEntry::Role::kBackend, VmEntry::State::kLive};
 
+constexpr char kRegistration[] =
+    R"({"service":"desk","address":"127.0.0.1:99","zone":"north-a",)"
+    R"("version":"v1","capacity":3,"state":"ready","coldLeftMs":0,)"
+    R"("sequence":1})";
+
 // A platform that answers at once and counts.
 class CountingList final : public platform::VmList {
  public:
@@ -109,15 +115,33 @@
   }
 }
 
+TEST_CASE("the VM list between nodes") {
+  const VmEntry vm = {
+      "bay-1",    "127.0.0.1:99",          "western-a",
+      "bay-desk", VmEntry::Role::kBackend, VmEntry::State::kLeaving};
+  SUBCASE("survives encoding") {
+    std::vector<VmEntry> decoded;
+    REQUIRE(DecodeVmList(EncodeVmList({vm}), &decoded));
+    REQUIRE(decoded.size() == 1);
+    CHECK(decoded[0].name == vm.name);
+    CHECK(decoded[0].role == vm.role);
+    CHECK(decoded[0].state == vm.state);
+  }
+  SUBCASE("is refused when it does not parse") {
+    std::vector<VmEntry> decoded;
+    for (const char* text : {"", "{", "{}", "[1]", "[{\"name\":1}]"})
+      CHECK_FALSE(DecodeVmList(text, &decoded));
+  }
+}
+
 TEST_CASE("an unchanged list is not transferred again") {
   EventLoop loop;
-  standins::VmListServer server(&loop, "127.0.0.1:0", Duration(0));
-  server.Replace({kDesk});
-  platform::HttpVmList client(loop.base(),
-                              "127.0.0.1:" + std::to_string(server.port()));
+  standins::Store server(&loop, "127.0.0.1:0");
+  server.Put("servers/desk-0", kRegistration);
+  platform::PlatformStore store(loop.base(), &loop, server.address());
   const auto fetch = [&] {
     size_t count = 0;
-    client.Fetch([&](StoreStatus, const std::vector<VmEntry>& vms) {
+    store.vms().Fetch([&](StoreStatus, const std::vector<VmEntry>& vms) {
       count = vms.size();
       loop.Stop();
     });
@@ -125,9 +149,9 @@
     return count;
   };
   CHECK(fetch() == 1);
+  const uint64_t ranges = server.calls().ranges;
   CHECK(fetch() == 1);
-  CHECK(server.whole_answers() == 1);
-  CHECK(server.unchanged_answers() == 1);
+  CHECK(server.calls().ranges == ranges);
 }
 
 }  // namespace
