--- /dev/null
+++ b/standins/instance.cc
@@ -0,0 +1,138 @@
+#include "standins/instance.h"
+
+#include <utility>
+
+#include "platform/names.h"
+
+namespace comfreystand::standins {
+namespace {
+
+namespace names = platform::names;
+
+std::string HeaderOf(const ExchangePtr& exchange, const char* name) {
+  const std::string* value = edge::FindHeader(exchange->head().headers, name);
+  return value ? *value : std::string();
+}
+
+}  // namespace
+
+Instance::Instance(EventLoop* loop, std::string name)
+    : loop_(loop),
+      name_(std::move(name)),
+      server_(
+          loop->base(),
+          [this](const ExchangePtr& exchange) { OnRequest(exchange); },
+          [this](const ExchangePtr& exchange) { OnHead(exchange); }) {
+  port_ = server_.Listen("127.0.0.1:0");
+}
+
+Instance::~Instance() = default;
+
+int Instance::Runs(const std::string& request_id) const {
+  const auto found = runs_.find(request_id);
+  return found == runs_.end() ? 0 : found->second;
+}
+
+std::string Instance::LastHeader(const std::string& header) const {
+  const std::string* value = edge::FindHeader(last_headers_, header);
+  return value ? *value : std::string();
+}
+
+std::string Instance::Head(const ExchangePtr& exchange, int status) const {
+  std::string text = "HTTP/1.1 " + std::to_string(status) + " " +
+                     edge::ReasonPhrase(status) + "\r\n" + names::kRequestId +
+                     ": " + HeaderOf(exchange, names::kRequestId) + "\r\n" +
+                     names::kServerLoad + ": " + std::to_string(busy_) + ",0," +
+                     std::to_string(behaviour_.slots) + "\r\n";
+  if (exchange->Query("stamp") != "0") {
+    text += std::string(names::kServerStamp) + ": " + name_ + "\r\n";
+  }
+  return text;
+}
+
+void Instance::OnHead(const ExchangePtr& exchange) {
+  if (exchange->QueryNumber("early") == 1) {
+    Run(exchange);
+  }
+}
+
+void Instance::OnRequest(const ExchangePtr& exchange) {
+  last_headers_ = exchange->head().headers;
+  last_target_ = exchange->head().target;
+  last_body_ = exchange->body();
+  if (exchange->QueryNumber("early") == 1) {
+    return;
+  }
+  const std::string expected = HeaderOf(exchange, names::kExpectInstance);
+  if (!expected.empty() && expected != name_) {
+    exchange->Answer(421, "");
+    return;
+  }
+  if (behaviour_.shedding) {
+    exchange->Answer(503, "", {{names::kNotExecuted, "1"}});
+    return;
+  }
+  Run(exchange);
+}
+
+void Instance::Run(const ExchangePtr& exchange) {
+  ++runs_[HeaderOf(exchange, names::kRequestId)];
+  ++total_runs_;
+  ++busy_;
+  const bool given = !exchange->Query("work_ms").empty();
+  const int64_t work_ms =
+      given ? exchange->QueryNumber("work_ms") : behaviour_.work_ms;
+  const auto left = std::make_shared<bool>(false);
+  exchange->OnGone([this, left, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) {
+      *left = true;
+      --busy_;
+      ++cancelled_;
+    }
+  });
+  loop_->PostDelayed(
+      std::chrono::milliseconds(work_ms),
+      [this, exchange, left, alive = std::weak_ptr<bool>(alive_)] {
+        if (alive.expired() || *left) {
+          return;
+        }
+        *left = true;
+        --busy_;
+        exchange->OnGone({});
+        Answer(exchange);
+      });
+}
+
+void Instance::Answer(const ExchangePtr& exchange) {
+  const int64_t status = exchange->QueryNumber("status");
+  const std::string head =
+      Head(exchange, status == 0 ? 200 : static_cast<int>(status));
+  const std::string body(
+      static_cast<size_t>(exchange->QueryNumber("bytes")) + 4, 'x');
+  const std::string length =
+      "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  if (exchange->QueryNumber("unframed") == 1) {
+    exchange->SendRaw(head + "Connection: close\r\n\r\n" + body);
+    exchange->FinishAndClose();
+    return;
+  }
+  if (exchange->QueryNumber("chunked") == 1) {
+    exchange->SendRaw(head + "Transfer-Encoding: chunked\r\n\r\n4\r\nxxxx\r\n");
+    exchange->SendRaw("0\r\n\r\n");
+    exchange->Finish();
+    return;
+  }
+  if (!exchange->Query("cut").empty()) {
+    const auto kept = static_cast<size_t>(exchange->QueryNumber("cut"));
+    exchange->SendRaw(head + length + body.substr(0, kept));
+    exchange->FinishAndClose();
+    return;
+  }
+  exchange->SendRaw(head + length + body);
+  if (exchange->QueryNumber("extra") == 1) {
+    exchange->SendRaw(head + length + body);
+  }
+  exchange->Finish();
+}
+
+}  // namespace comfreystand::standins
--- /dev/null
+++ b/tests/platform_relay_test.cc
@@ -0,0 +1,287 @@
+#include "platform/relay_protocol.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "comfreystand/traffic.h"
+
+namespace comfreystand::platform {
+namespace {
+
+using edge::AnswerFacts;
+using edge::AnswerHead;
+using edge::Refusal;
+using edge::RelayRequest;
+using edge::RequestHead;
+
+class FixedRoutes final : public gateway::RouteSource {
+ public:
+  const RouteTable* Routes() const override { return table.get(); }
+  uint64_t RegionsOf(const TrafficRoute& route) const override {
+    return route.home_regions.empty() ? 0 : 2;
+  }
+  ServiceRegistry services;
+  std::unique_ptr<RouteTable> table;
+};
+
+TrafficConfig SomeConfig() {
+  TrafficConfig config;
+  config.version = {3};
+  TrafficRoute look;
+  look.name = "look";
+  look.host = "A.example";
+  look.prefix = "/look/";
+  look.services = {{"desk", 1}};
+  look.idempotent = true;
+  look.time_limit = std::chrono::milliseconds(1'200);
+  look.goal = std::chrono::milliseconds(300);
+  look.rank = 2;
+  look.max_attempts = 2;
+  look.sticky = true;
+  TrafficRoute deep = look;
+  deep.name = "deep";
+  deep.prefix = "/look/deep/";
+  deep.services = {{"other", 1}};
+  deep.sticky = false;
+  config.routes = {look, deep};
+  config.limits.body_bytes = 1'000;
+  return config;
+}
+
+struct World {
+  World() {
+    routes.table = std::make_unique<RouteTable>(SomeConfig(), &routes.services);
+    head.method = "GET";
+    head.target = "/look/2f?x=1";
+    head.path = "/look/2f";
+    head.query = "x=1";
+    head.headers = {{"Host", "a.example:80"},
+                    {"Comfreystand-Request-Id", "9c41"},
+                    {"Cookie", "a=b; Comfreystand-Affinity-Key=17"},
+                    {"Comfreystand-Deadline-Ms", "2500"},
+                    {"Comfreystand-Expect-Instance", "smuggled"},
+                    {"Connection", "keep-alive"},
+                    {"X-Own", "kept"}};
+  }
+  bool Read() { return protocol.ReadRequest(head, now, &out, &refusal); }
+  void Set(const std::string& name, const std::string& value) {
+    for (edge::HeaderField& field : head.headers) {
+      if (field.name == name) {
+        field.value = value;
+      }
+    }
+  }
+
+  FixedRoutes routes;
+  PlatformProtocol protocol{&routes};
+  const TimePoint now{std::chrono::seconds(100)};
+  RequestHead head;
+  RelayRequest out;
+  Refusal refusal;
+};
+
+TEST_CASE("a request") {
+  World world;
+  SUBCASE("takes its terms from its route") {
+    REQUIRE(world.Read());
+    const steer::RequestTraits& traits = world.out.traits;
+    CHECK(world.out.route == "look");
+    CHECK(world.out.target == "/look/2f?x=1");
+    CHECK(world.out.request_id == "9c41");
+    CHECK(traits.idempotent);
+    CHECK(traits.max_attempts == 2);
+    CHECK(traits.priority == -2);
+    CHECK(traits.object != 0);
+    CHECK(traits.deadline - world.now == std::chrono::milliseconds(1'200));
+    CHECK(world.out.caller_deadline - world.now ==
+          std::chrono::milliseconds(2'500));
+  }
+  SUBCASE("is forwarded without what concerns one connection or attempt") {
+    REQUIRE(world.Read());
+    CHECK(world.out.header_lines ==
+          "Comfreystand-Request-Id: 9c41\r\n"
+          "Cookie: a=b; Comfreystand-Affinity-Key=17\r\nX-Own: kept\r\n");
+  }
+  SUBCASE("never waits longer than its caller") {
+    world.Set("Comfreystand-Deadline-Ms", "700");
+    REQUIRE(world.Read());
+    CHECK(world.out.traits.deadline - world.now ==
+          std::chrono::milliseconds(700));
+  }
+  SUBCASE("goes by the longest prefix") {
+    world.head.path = "/look/deep/x";
+    REQUIRE(world.Read());
+    CHECK(world.out.route == "deep");
+    CHECK(world.out.traits.object == 0);
+  }
+  SUBCASE("names objects by route and key") {
+    REQUIRE(world.Read());
+    const uint64_t object = world.out.traits.object;
+    world.Set("Cookie", "Comfreystand-Affinity-Key=18");
+    REQUIRE(world.Read());
+    CHECK(world.out.traits.object != object);
+  }
+  SUBCASE("is refused for what is wrong with it") {
+    struct Case {
+      const char* name;
+      const char* path;
+      const char* header;
+      const char* value;
+      int64_t length;
+      int status;
+    };
+    const Case cases[] = {
+        {"no such host", "/look/x", "Host", "b.example", 0, 404},
+        {"no such path", "/loo", "Host", "a.example", 0, 404},
+        {"prefix without its slash", "/look", "Host", "a.example", 0, 404},
+        {"empty path", "", "Host", "a.example", 0, 404},
+        {"deadline that is no number", "/look/x", "Comfreystand-Deadline-Ms",
+         "soon", 0, 400},
+        {"negative deadline", "/look/x", "Comfreystand-Deadline-Ms", "-1", 0,
+         400},
+        {"control bytes", "/look/x", "X-Own", "a\rb", 0, 400},
+        {"large body", "/look/x", "X-Own", "a", 1'001, 413},
+    };
+    for (const Case& c : cases) {
+      CAPTURE(std::string(c.name));
+      World other;
+      other.head.path = c.path;
+      other.Set(c.header, c.value);
+      other.head.content_length = c.length;
+      CHECK_FALSE(other.Read());
+      CHECK(other.refusal.status == c.status);
+    }
+  }
+  SUBCASE("is told to come back while there is no configuration") {
+    world.routes.table.reset();
+    CHECK_FALSE(world.Read());
+    CHECK(world.refusal.status == 503);
+    CHECK(world.refusal.retry_after.count() > 0);
+  }
+}
+
+TEST_CASE("a refusal") {
+  World world;
+  REQUIRE(world.Read());
+  SUBCASE("promises that nothing ran only when that is known") {
+    steer::Action action;
+    action.reason = steer::RejectReason::kDeadlineExceeded;
+    action.verdict = RunVerdict::kNotRun;
+    CHECK(world.protocol.RefusalFor(action).status == 503);
+    action.verdict = RunVerdict::kMayHaveRun;
+    CHECK(world.protocol.RefusalFor(action).status == 504);
+    action.reason = steer::RejectReason::kAttemptFailed;
+    CHECK(world.protocol.RefusalFor(action).status == 502);
+  }
+  SUBCASE("names the request and the time to wait, in fractions") {
+    const std::string text = world.protocol.FormatRefusal(
+        {.status = 503,
+         .error = "overloaded",
+         .retry_after = std::chrono::milliseconds(250)},
+        &world.out, true);
+    CHECK(text.find("Retry-After: 0.250\r\n") != std::string::npos);
+    CHECK(text.find("Comfreystand-Request-Id: 9c41\r\n") != std::string::npos);
+    CHECK(text.find("Connection: close") == std::string::npos);
+  }
+}
+
+TEST_CASE("an attempt names its backend server and the time left") {
+  World world;
+  REQUIRE(world.Read());
+  std::string lines;
+  world.protocol.AppendAttemptLines(
+      world.out,
+      {.name = "",
+       .backend_name = "i-1",
+       .request_id = "9c41",
+       .time_left = std::chrono::milliseconds(1'100)},
+      &lines);
+  CHECK(lines ==
+        "Comfreystand-Deadline-Ms: 1100\r\n"
+        "Comfreystand-Expect-Instance: i-1\r\n");
+}
+
+TEST_CASE("an answer's head") {
+  World world;
+  struct Case {
+    const char* name;
+    int status;
+    std::vector<edge::HeaderField> headers;
+    AnswerFacts::Kind kind;
+    bool failed;
+  };
+  const edge::HeaderField id = {"Comfreystand-Request-Id", "9c41"};
+  const edge::HeaderField stamp = {"Comfreystand-Server-Stamp", "s"};
+  const Case cases[] = {
+      {"whole", 200, {id, stamp}, AnswerFacts::Kind::kAnswer, false},
+      {"of another request",
+       200,
+       {{"Comfreystand-Request-Id", "other"}, stamp},
+       AnswerFacts::Kind::kForeign,
+       false},
+      {"without a signature", 200, {id}, AnswerFacts::Kind::kInvalid, false},
+      {"encoded",
+       200,
+       {id, stamp, {"Content-Encoding", "gzip"}},
+       AnswerFacts::Kind::kInvalid,
+       false},
+      {"error", 500, {id, stamp}, AnswerFacts::Kind::kAnswer, true},
+      {"shed",
+       503,
+       {{"Comfreystand-Not-Executed", "1"}},
+       AnswerFacts::Kind::kNotRun,
+       true},
+      {"503 that says nothing", 503, {}, AnswerFacts::Kind::kAnswer, true},
+      {"another's address", 421, {}, AnswerFacts::Kind::kOtherBackend, false},
+  };
+  for (const Case& c : cases) {
+    CAPTURE(std::string(c.name));
+    AnswerHead head;
+    head.status = c.status;
+    head.headers = c.headers;
+    const AnswerFacts facts = world.protocol.ReadAnswer(
+        head, {.name = "", .backend_name = "", .request_id = "9c41"});
+    CHECK(facts.kind == c.kind);
+    CHECK(facts.failed == c.failed);
+  }
+}
+
+TEST_CASE("a load header") {
+  struct Case {
+    const char* text;
+    bool valid;
+    int running;
+    double factor;
+  };
+  const Case cases[] = {
+      {"3,0,8", true, 3, 1},
+      {"3, 0, 8, 250", true, 3, 2.5},
+      {"3,0", false, 0, 0},
+      {"", false, 0, 0},
+      {"3,0,8,100,1", false, 0, 0},
+      {"-1,0,8", false, 0, 0},
+      {"a,0,8", false, 0, 0},
+      {"3,,8", false, 0, 0},
+      {"99999999999,0,8", false, 0, 0},
+  };
+  for (const Case& c : cases) {
+    CAPTURE(std::string(c.text));
+    const auto load = ParseLoadHeader(c.text);
+    REQUIRE(load.has_value() == c.valid);
+    if (load) {
+      CHECK(load->running == c.running);
+      CHECK(load->work_factor == c.factor);
+    }
+  }
+}
+
+TEST_CASE("cookies") {
+  CHECK(FindCookie("k=1", "k") == "1");
+  CHECK(FindCookie("a=2; k=1; b=3", "k") == "1");
+  CHECK(FindCookie("kk=2;k=", "k").empty());
+  CHECK(FindCookie("; ;=;k", "k").empty());
+}
+
+}  // namespace
+}  // namespace comfreystand::platform
--- /dev/null
+++ b/tests/platform_watcher_test.cc
@@ -0,0 +1,138 @@
+#include "platform/prefix_watcher.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <string>
+
+#include "comfreystand/event_loop.h"
+#include "platform/store_client.h"
+#include "standins/store.h"
+
+namespace comfreystand::platform {
+namespace {
+
+using standins::Outage;
+
+// A watcher of "p/" and all that it has reported.
+class World {
+ public:
+  World()
+      : server(&loop, "127.0.0.1:0"),
+        client(loop.base(), &clock, server.address()),
+        reader(&client),
+        watcher({.prefix = "p/"},
+                &loop,
+                &reader,
+                {.on_written =
+                     [this](const StoreItem& item) {
+                       values[item.key] = item.damaged ? "?" : item.value;
+                       ++writes;
+                     },
+                 .on_removed =
+                     [this](const std::string& key) { values.erase(key); },
+                 .on_listed = [this] { ++lists; },
+                 .on_lost = [this] { ++losses; },
+                 .on_regained = [this] { ++returns; }}) {}
+
+  // Runs the loop until `done`; returns whether that came true in a generous
+  // time.
+  bool Until(const std::function<bool()>& done) {
+    constexpr std::chrono::seconds kPatience{20};
+    const TimePoint end = clock.Now() + kPatience;
+    while (!done() && clock.Now() < end) {
+      loop.PostDelayed(std::chrono::milliseconds(2), [this] { loop.Stop(); });
+      loop.Run();
+    }
+    return done();
+  }
+
+  EventLoop loop;
+  SystemClock clock;
+  standins::Store server;
+  StoreClient client;
+  ClientReader reader;
+  std::map<std::string, std::string> values;
+  int writes = 0;
+  int lists = 0;
+  int losses = 0;
+  int returns = 0;
+  PrefixWatcher watcher;
+};
+
+TEST_CASE("a watcher of a prefix") {
+  World world;
+  world.server.SetPageSize(2);
+  for (int i = 0; i < 5; ++i) {
+    world.server.Put("p/" + std::to_string(i), "v");
+  }
+  world.server.Put("q/other", "v");
+  world.watcher.Start();
+  REQUIRE(world.Until([&] { return world.lists == 1; }));
+
+  SUBCASE("begins with all items, page by page, each once") {
+    CHECK(world.values.size() == 5);
+    CHECK(world.writes == 5);
+  }
+  SUBCASE("hears of writes and removals") {
+    world.server.Put("p/new", "n");
+    world.server.Remove("p/0");
+    CHECK(world.Until([&] {
+      return world.values.size() == 5 && world.values.contains("p/new");
+    }));
+    CHECK_FALSE(world.values.contains("p/0"));
+    CHECK(world.losses == 0);
+  }
+  SUBCASE("lists again when the store has forgotten its history") {
+    world.server.SetFaults({.outage = Outage::kReset});
+    world.server.Put("p/1", "changed");
+    world.server.Remove("p/2");
+    world.server.Compact();
+    world.server.SetFaults({});
+    CHECK(world.Until([&] { return world.values["p/1"] == "changed"; }));
+    CHECK(world.Until([&] { return !world.values.contains("p/2"); }));
+    CHECK(world.values.size() == 4);
+  }
+  SUBCASE("says when the store stops answering and when it is back") {
+    struct Case {
+      const char* name;
+      Outage outage;
+    };
+    for (const Case& c :
+         {Case{"busy", Outage::kBusy}, Case{"over its rate", Outage::kOverRate},
+          Case{"resetting", Outage::kReset}, Case{"silent", Outage::kSilent}}) {
+      CAPTURE(std::string(c.name));
+      const int losses = world.losses;
+      world.server.SetFaults({.outage = c.outage});
+      CHECK(world.Until([&] { return world.losses == losses + 1; }));
+      CHECK(world.watcher.lost());
+      world.server.Put(std::string("p/during ") + c.name, "d");
+      world.server.SetFaults({});
+      CHECK(world.Until([&] { return world.returns == losses + 1; }));
+      CHECK(world.Until([&] {
+        return world.values.contains(std::string("p/during ") + c.name);
+      }));
+    }
+  }
+  SUBCASE("passes on slow answers too") {
+    world.server.SetFaults({.delay = std::chrono::milliseconds(250)});
+    world.server.Put("p/slow", "s");
+    CHECK(world.Until([&] { return world.values.contains("p/slow"); }));
+    CHECK(world.losses == 0);
+  }
+}
+
+TEST_CASE("a watcher that starts while the store is away") {
+  World world;
+  world.server.Put("p/a", "v");
+  world.server.SetFaults({.outage = Outage::kBusy});
+  world.watcher.Start();
+  REQUIRE(world.Until([&] { return world.losses == 1; }));
+  CHECK(world.lists == 0);
+  world.server.SetFaults({});
+  CHECK(world.Until([&] { return world.lists == 1; }));
+  CHECK(world.values.size() == 1);
+}
+
+}  // namespace
+}  // namespace comfreystand::platform
