--- a/src/steer/placement.cc
+++ b/src/steer/placement.cc
@@ -24,7 +24,7 @@
 // Other nodes of the region follow the same order, so the first places are
 // likely to be warm through them. One more than PlacementOrder::kPlaces.
 constexpr std::array<double, PlacementOrder::kPlaces + 1> kWarmByPlace = {
-    0.85, 0.45, 0.15, 0};
+    0.9, 0.3, 0.05, 0};
 constexpr double kSeenWarm = 0.97;
 constexpr uint64_t kHomeSalt = 0x686f6d65;
 
