Explain a request from the logs; metrics of a gateway; a log that never blocks

One line for each finished request, its attempts and what backend servers said. The log's queue keeps failed requests first, bounds lines about requests, and says how many it left out. comfreystand explain REQUEST-ID [FILE...] tells the story and names the reason.

--- a/include/comfreystand/edge.h
+++ b/include/comfreystand/edge.h
@@ -103,12 +103,37 @@
   kRefusing,
 };
 
+// How a request ended.
+enum class RequestEnd : uint8_t { kAnswered, kRefused, kCutOff, kCallerLeft };
+
+// A request that is over, for counters.
+struct FinishedRequest {
+  // Name of the route that it matched; empty when it matched none.
+  std::string route;
+  RequestEnd end = RequestEnd::kAnswered;
+  // Status of the answer; 0 when the caller got none.
+  int status = 0;
+  Duration took{0};
+  // Time until its first attempt.
+  Duration queued{0};
+  size_t attempts = 0;
+};
+
+// Hears of every relayed request once, when it is over.
+class RequestObserver {
+ public:
+  virtual ~RequestObserver() = default;
+  virtual void OnFinished(const FinishedRequest& request) = 0;
+};
+
 struct ServerInit {
   // Numeric address and port to listen on; port 0 lets the kernel choose.
   std::string listen_address = "127.0.0.1:0";
   // Meaning of headers; the product's own interface when null. Must outlive
   // the server.
   const RelayProtocol* protocol = nullptr;
+  // May be null. Must outlive the server.
+  RequestObserver* observer = nullptr;
   std::vector<ServiceName> services;
   std::vector<ClassName> classes;
   std::vector<SiteAddresses> sites;
--- a/include/comfreystand/gateway.h
+++ b/include/comfreystand/gateway.h
@@ -103,8 +103,14 @@
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
 
-  // Opens the listener for traffic. Returns false and sets `error` when the
-  // address can't be used.
+  // Adds a value to those that the metrics address shows; before Start().
+  void AddMetric(std::string name,
+                 std::string help,
+                 bool is_counter,
+                 std::function<double()> read);
+
+  // Opens the listeners for traffic and metrics. Returns false and sets `error`
+  // when the address can't be used.
   bool Start(const ProtocolFactory& protocol, std::string* error);
 
   // Facts from the store.
--- a/include/comfreystand/log.h
+++ b/include/comfreystand/log.h
@@ -12,6 +12,9 @@
 // is counted in metrics instead.
 namespace comfreystand {
 
+// Event of the lines that are written for single requests.
+constexpr std::string_view kRequestEvent = "request";
+
 enum class LogLevel : uint8_t { kDebug, kInfo, kWarn, kError };
 
 struct LogField {
--- a/src/node/metrics.cc
+++ b/src/admin/metric_sources.cc
@@ -1,10 +1,10 @@
-#include "src/node/metrics.h"
+#include "src/admin/metric_sources.h"
 
 #include <prometheus/metric_family.h>
 
 #include <utility>
 
-namespace comfreystand::node {
+namespace comfreystand::admin {
 namespace {
 
 prometheus::ClientMetric Read(const MetricSource& source) {
@@ -20,10 +20,10 @@
 
 }  // namespace
 
-NodeMetrics::NodeMetrics(std::vector<MetricSource> sources)
+SourceMetrics::SourceMetrics(std::vector<MetricSource> sources)
     : sources_(std::move(sources)) {}
 
-std::vector<prometheus::MetricFamily> NodeMetrics::Collect() const {
+std::vector<prometheus::MetricFamily> SourceMetrics::Collect() const {
   std::vector<prometheus::MetricFamily> families;
   for (const MetricSource& source : sources_) {
     if (families.empty() || families.back().name != source.name) {
@@ -39,4 +39,4 @@
   return families;
 }
 
-}  // namespace comfreystand::node
+}  // namespace comfreystand::admin
--- a/src/node/metrics.h
+++ b/src/admin/metric_sources.h
@@ -1,5 +1,5 @@
-#ifndef COMFREYSTAND_SRC_NODE_METRICS_H_
-#define COMFREYSTAND_SRC_NODE_METRICS_H_
+#ifndef COMFREYSTAND_SRC_ADMIN_METRIC_SOURCES_H_
+#define COMFREYSTAND_SRC_ADMIN_METRIC_SOURCES_H_
 
 #include <prometheus/collectable.h>
 
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
-namespace comfreystand::node {
+namespace comfreystand::admin {
 
-// One value of the node as a metric.
+// One value of the process as a metric.
 struct MetricSource {
   std::string name;
   std::string help;
@@ -21,15 +21,15 @@
 };
 
 // Collects a table of sources when the metrics endpoint is asked.
-class NodeMetrics final : public prometheus::Collectable {
+class SourceMetrics final : public prometheus::Collectable {
  public:
-  explicit NodeMetrics(std::vector<MetricSource> sources);
+  explicit SourceMetrics(std::vector<MetricSource> sources);
   std::vector<prometheus::MetricFamily> Collect() const override;
 
  private:
   std::vector<MetricSource> sources_;
 };
 
-}  // namespace comfreystand::node
+}  // namespace comfreystand::admin
 
-#endif  // COMFREYSTAND_SRC_NODE_METRICS_H_
+#endif  // COMFREYSTAND_SRC_ADMIN_METRIC_SOURCES_H_
--- a/src/cli/gateway_verb.cc
+++ b/src/cli/gateway_verb.cc
@@ -34,6 +34,15 @@
   LogStateChange("settings", "reloaded");
 }
 
+// Lines that a slow reader left waiting go out even when nothing is logged.
+void FlushLogOften(EventLoop* loop) {
+  constexpr std::chrono::milliseconds kInterval{500};
+  loop->PostDelayed(kInterval, [loop] {
+    FlushLog();
+    FlushLogOften(loop);
+  });
+}
+
 // Runs until SIGTERM or SIGINT asks for a graceful stop and it is done; a
 // second one stops at once.
 void RunUntilStopped(EventLoop* loop,
@@ -51,6 +60,7 @@
     });
   }
   loop->OnSignal(SIGHUP, reload);
+  FlushLogOften(loop);
   loop->Run();
 }
 
@@ -70,6 +80,10 @@
   StartLogging(settings.log_level, settings.log_format);
   EventLoop loop;
   auto gateway = std::make_unique<PlatformGateway>(&loop, settings);
+  gateway->gateway().AddMetric(
+      "comfreystand_log_lines_left_out_total",
+      "Log lines left out for their number or a slow reader.", true,
+      [] { return static_cast<double>(LogLinesLeftOut()); });
   std::string error;
   if (!gateway->Start(&error)) {
     invocation.Err() << "comfreystand: " << error << '\n';
--- a/src/cli/logging.cc
+++ b/src/cli/logging.cc
@@ -1,10 +1,13 @@
 #include "src/cli/logging.h"
 
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
+#include <log4cxx/spi/loggingevent.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -12,6 +15,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "src/cli/log_queue.h"
+
 namespace comfreystand::cli {
 namespace {
 
@@ -68,30 +73,116 @@
   return line;
 }
 
+// Bytes that a pipe takes without waiting once it is writable.
+constexpr size_t kAtomicBytes = 4'096;
+
+bool TakesBytes(int fd) {
+  pollfd poller = {.fd = fd, .events = POLLOUT, .revents = 0};
+  return poll(&poller, 1, 0) == 1 && (poller.revents & POLLOUT) != 0;
+}
+
+// Formats by log4cxx's layouts and writes as far as the reader takes it.
+class QueueAppender final : public log4cxx::AppenderSkeleton {
+ public:
+  QueueAppender() : queue_(LogBounds{}) {}
+
+  // Tells of the next entry what its line is about.
+  void SetAboutRequest(bool about_request) { about_request_ = about_request; }
+
+  void Flush() {
+    while (!queue_.empty() && TakesBytes(STDOUT_FILENO)) {
+      const std::string bytes = queue_.Take(kAtomicBytes);
+      if (write(STDOUT_FILENO, bytes.data(), bytes.size()) < 0) {
+        // The reader is gone; there is nobody left to tell.
+        return;
+      }
+    }
+    if (queue_.empty()) {
+      ReportLeftOut();
+    }
+  }
+
+  uint64_t left_out() const { return queue_.left_out_total(); }
+
+  void close() override {}
+  bool requiresLayout() const override { return true; }
+
+ protected:
+  void append(const log4cxx::spi::LoggingEventPtr& event,
+              log4cxx::helpers::Pool& pool) override {
+    log4cxx::LogString line;
+    getLayout()->format(line, event, pool);
+    const bool debug = event->getLevel()->equals(log4cxx::Level::getDebug());
+    queue_.Add(SystemClock().Now(), debug ? LogLevel::kDebug : LogLevel::kInfo,
+               about_request_, line);
+    Flush();
+  }
+
+ private:
+  // One line says how many are missing, once there is room for it.
+  void ReportLeftOut() {
+    const TimePoint now = SystemClock().Now();
+    if (now - reported_ < kReportInterval) {
+      return;
+    }
+    const uint64_t count = queue_.TakeLeftOut();
+    if (count > 0) {
+      reported_ = now;
+      LogStateChange("log", "lines-left-out",
+                     {{"count", std::to_string(count)}}, LogLevel::kWarn);
+    }
+  }
+
+  static constexpr std::chrono::seconds kReportInterval{1};
+  LogQueue queue_;
+  bool about_request_ = false;
+  TimePoint reported_{};
+};
+
+std::shared_ptr<QueueAppender>& CurrentAppender() {
+  static std::shared_ptr<QueueAppender> appender;
+  return appender;
+}
+
 }  // namespace
 
 void StartLogging(LogLevel level, LogFormat format) {
   const std::string_view pattern =
       format == LogFormat::kJson ? kJsonPattern : kTextPattern;
-  const auto layout =
-      std::make_shared<log4cxx::PatternLayout>(std::string(pattern));
-  const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-      layout, log4cxx::ConsoleAppender::getSystemOut());
-  log4cxx::BasicConfigurator::configure(appender);
+  auto& appender = CurrentAppender();
+  const bool restarted = appender != nullptr;
+  if (!restarted) {
+    appender = std::make_shared<QueueAppender>();
+    log4cxx::BasicConfigurator::configure(appender);
+  }
+  appender->setLayout(
+      std::make_shared<log4cxx::PatternLayout>(std::string(pattern)));
   const log4cxx::LoggerPtr logger = log4cxx::Logger::getRootLogger();
   logger->setLevel(ToLog4cxx(level));
   SetLogLevel(level);
   SetLogSink([logger, format](const LogEntry& entry) {
     const log4cxx::LevelPtr entry_level = ToLog4cxx(entry.level);
-    if (logger->isEnabledFor(entry_level)) {
-      logger->forcedLog(entry_level, FormatLogEntry(entry, format));
-    }
+    CurrentAppender()->SetAboutRequest(entry.event == kRequestEvent);
+    logger->forcedLog(entry_level, FormatLogEntry(entry, format));
   });
 }
 
+void FlushLog() {
+  if (const auto& appender = CurrentAppender()) {
+    appender->Flush();
+  }
+}
+
+uint64_t LogLinesLeftOut() {
+  const auto& appender = CurrentAppender();
+  return appender ? appender->left_out() : 0;
+}
+
 void StopLogging() {
+  FlushLog();
   SetLogSink({});
   log4cxx::LogManager::shutdown();
+  CurrentAppender().reset();
 }
 
 std::string FormatLogEntry(const LogEntry& entry, LogFormat format) {
--- a/src/cli/logging.h
+++ b/src/cli/logging.h
@@ -8,9 +8,17 @@
 
 namespace comfreystand::cli {
 
-// Sends log entries of at least `level` to standard error through log4cxx.
+// Sends log entries of at least `level` to standard output, formatted by
+// log4cxx. Never waits for a slow reader: lines beyond the bounds are left out
+// and counted, and the count is logged once there is room.
 void StartLogging(LogLevel level, LogFormat format);
 
+// Writes what waits for the reader, as far as that one takes it.
+void FlushLog();
+
+// Lines left out since the start.
+uint64_t LogLinesLeftOut();
+
 // Writes out what is pending and drops entries from now on.
 void StopLogging();
 
--- a/src/cli/verbs.cc
+++ b/src/cli/verbs.cc
@@ -5,21 +5,14 @@
 namespace comfreystand::cli {
 namespace {
 
-constexpr std::array kVerbs = {&kNodeVerb,
-                               &kGatewayVerb,
-                               &kRulesBootstrapVerb,
-                               &kRulesCheckVerb,
-                               &kRulesDiffVerb,
-                               &kRulesProposeVerb,
-                               &kRulesShowVerb,
-                               &kRulesHistoryVerb,
-                               &kRulesAuditVerb,
-                               &kDrainVerb,
-                               &kStatusVerb,
-                               &kSettingsCheckVerb,
-                               &kSettingsDescribeVerb,
-                               &kLookupVerb,
-                               &kLoadVerb,
+constexpr std::array kVerbs = {&kNodeVerb,          &kGatewayVerb,
+                               &kExplainVerb,       &kRulesBootstrapVerb,
+                               &kRulesCheckVerb,    &kRulesDiffVerb,
+                               &kRulesProposeVerb,  &kRulesShowVerb,
+                               &kRulesHistoryVerb,  &kRulesAuditVerb,
+                               &kDrainVerb,         &kStatusVerb,
+                               &kSettingsCheckVerb, &kSettingsDescribeVerb,
+                               &kLookupVerb,        &kLoadVerb,
                                &kBenchVerb};
 
 }  // namespace
--- a/src/cli/verbs.h
+++ b/src/cli/verbs.h
@@ -12,6 +12,7 @@
 extern const Verb kBenchVerb;
 extern const Verb kLoadVerb;
 extern const Verb kLookupVerb;
+extern const Verb kExplainVerb;
 extern const Verb kGatewayVerb;
 extern const Verb kNodeVerb;
 extern const Verb kRulesBootstrapVerb;
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -13,9 +13,6 @@
 
 class Relay;
 
-// How a request ended.
-enum class RequestEnd : uint8_t { kAnswered, kRefused, kCutOff, kCallerLeft };
-
 // What a relay needs from the server that owns it.
 class RelayHost {
  public:
--- a/src/edge/request_log.cc
+++ b/src/edge/request_log.cc
@@ -61,7 +61,7 @@
     attempts += Describe(note, traits.arrival, now);
   }
   LogStateChange(
-      "relay", "request",
+      "relay", kRequestEvent,
       {{"id", spec.request_id},
        {"route", spec.route},
        {"end", std::string(kEndNames[static_cast<size_t>(end)])},
--- a/src/edge/server_actions.cc
+++ b/src/edge/server_actions.cc
@@ -261,14 +261,32 @@
                                    RunVerdict verdict,
                                    RequestEnd end) {
   ++stats_.verdicts[static_cast<size_t>(verdict)];
-  LogRequest(relay, end, clock_->Now());
+  Conclude(relay, end);
   by_handle_.erase(relay->handle());
   relay->DiscardAttempts();
 }
 
+void Server::Impl::Conclude(Relay* relay, RequestEnd end) {
+  const TimePoint now = clock_->Now();
+  LogRequest(relay, end, now);
+  if (!init_.observer) {
+    return;
+  }
+  const RelayRequest& spec = relay->spec();
+  const auto& notes = relay->notes();
+  const TimePoint arrival = spec.traits.arrival;
+  init_.observer->OnFinished(
+      {.route = spec.route,
+       .end = end,
+       .status = relay->status(),
+       .took = now - arrival,
+       .queued = notes.empty() ? Duration(0) : notes.front().started - arrival,
+       .attempts = notes.size()});
+}
+
 void Server::Impl::OnRelayAborted(Relay* relay) {
   if (by_handle_.erase(relay->handle()) > 0) {
-    LogRequest(relay, RequestEnd::kCallerLeft, clock_->Now());
+    Conclude(relay, RequestEnd::kCallerLeft);
     dispatcher_->CancelRequest(clock_->Now(), relay->handle());
     relay->DiscardAttempts();
     Poke();
--- a/src/edge/server_impl.h
+++ b/src/edge/server_impl.h
@@ -95,6 +95,8 @@
   bool CheckTicket(const RelayRequest& spec, Refusal* refusal);
 
   void Pump();
+  // Logs and counts a request that is over.
+  void Conclude(Relay* relay, RequestEnd end);
   void NoteReport(const Attempt& attempt, const steer::AttemptReport& report);
   void HandleDeferred();
   void SetWakeup(TimePoint now);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -3,7 +3,10 @@
 #include <algorithm>
 #include <utility>
 
+#include "comfreystand/admin.h"
+#include "src/admin/metric_sources.h"
 #include "src/gateway/backend_registry.h"
+#include "src/gateway/gateway_metrics.h"
 #include "src/gateway/node_registry.h"
 
 namespace comfreystand::gateway {
@@ -57,6 +60,7 @@
     edge::ServerInit init;
     init.listen_address = settings_.traffic_address.text;
     init.protocol = protocol_.get();
+    init.observer = &metrics_;
     init.load_poll_interval = Duration(0);
     init.connect_timeout = kConnectTimeout;
     init.unacknowledged_timeout = kUnacknowledged;
@@ -68,7 +72,11 @@
     init.max_callers = std::min(init.max_callers, sockets / 2);
     server_ = edge::Server::Create(loop_->base(), &clock_, init, &no_lookup_,
                                    dispatcher_.get(), nullptr, error);
-    return server_ != nullptr;
+    return server_ != nullptr && StartMetrics(error);
+  }
+
+  void AddMetric(admin::MetricSource source) {
+    sources_.push_back(std::move(source));
   }
 
   void OnConfig(TrafficConfig config) {
@@ -183,6 +191,58 @@
   }
 
  private:
+  bool StartMetrics(std::string* error) {
+    if (!settings_.metrics_address.IsSet()) {
+      return true;
+    }
+    AddOwnMetrics();
+    metrics_server_ = admin::MetricsServer::Create(
+        loop_->base(), settings_.metrics_address.text,
+        {metrics_.registry(),
+         std::make_shared<admin::SourceMetrics>(std::move(sources_))},
+        error);
+    return metrics_server_ != nullptr;
+  }
+
+  void AddOwnMetrics() {
+    const auto gauge = [this](const char* name, const char* help,
+                              std::function<double()> read) {
+      AddMetric({.name = name,
+                 .help = help,
+                 .is_counter = false,
+                 .read = std::move(read)});
+    };
+    const auto counter = [this](const char* name, const char* help,
+                                uint64_t steer::DispatcherStats::*member) {
+      AddMetric({.name = name, .help = help, .read = [this, member] {
+                   return static_cast<double>(dispatcher_->Stats().*member);
+                 }});
+    };
+    gauge("comfreystand_config_version", "Configuration in force.",
+          [this] { return GetStats().version.value; });
+    gauge("comfreystand_backends_ready", "Backend servers that take requests.",
+          [this] { return GetStats().backends_ready; });
+    gauge("comfreystand_backends_draining", "Backend servers that drain.",
+          [this] { return GetStats().backends_draining; });
+    gauge("comfreystand_nodes", "Nodes registered.",
+          [this] { return GetStats().nodes; });
+    gauge("comfreystand_ready", "Whether callers are sent here.",
+          [this] { return GetStats().ready ? 1 : 0; });
+    gauge("comfreystand_store_lost", "Whether the store does not answer.",
+          [this] { return GetStats().store_lost ? 1 : 0; });
+    gauge("comfreystand_queued_requests", "Requests that wait for a slot.",
+          [this] { return dispatcher_->Stats().queued; });
+    using Stats = steer::DispatcherStats;
+    counter("comfreystand_attempts_total", "Attempts started.",
+            &Stats::attempts);
+    counter("comfreystand_resends_total", "Requests sent again.",
+            &Stats::resends);
+    counter("comfreystand_resends_denied_total",
+            "Resends that the budget did not allow.", &Stats::resends_denied);
+    counter("comfreystand_shed_total", "Requests refused for want of slots.",
+            &Stats::shed);
+  }
+
   void NumberDomains() {
     constexpr size_t kMostRegions = 63;
     for (const auto& [domain, region] : settings_.regions_of_domains) {
@@ -302,6 +362,9 @@
   NodeRegistry nodes_;
   std::unique_ptr<steer::Dispatcher> dispatcher_;
   std::unique_ptr<edge::RelayProtocol> protocol_;
+  GatewayMetrics metrics_;
+  std::vector<admin::MetricSource> sources_;
+  std::unique_ptr<admin::MetricsServer> metrics_server_;
   std::unique_ptr<edge::Server> server_;
   std::function<void()> stopped_;
   TimePoint stop_began_{};
@@ -319,6 +382,15 @@
     : impl_(std::make_unique<Impl>(loop, settings, this)) {}
 Gateway::~Gateway() = default;
 
+void Gateway::AddMetric(std::string name,
+                        std::string help,
+                        bool is_counter,
+                        std::function<double()> read) {
+  impl_->AddMetric({.name = std::move(name),
+                    .help = std::move(help),
+                    .is_counter = is_counter,
+                    .read = std::move(read)});
+}
 bool Gateway::Start(const ProtocolFactory& protocol, std::string* error) {
   return impl_->Start(protocol, error);
 }
--- /dev/null
+++ b/src/gateway/gateway_metrics.h
@@ -0,0 +1,41 @@
+#ifndef COMFREYSTAND_SRC_GATEWAY_GATEWAY_METRICS_H_
+#define COMFREYSTAND_SRC_GATEWAY_GATEWAY_METRICS_H_
+
+#include <prometheus/counter.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include "comfreystand/edge.h"
+
+namespace comfreystand::gateway {
+
+// Counts finished requests by route and outcome, with their latencies. Label
+// sets are bounded: routes beyond the bound, and requests that matched none,
+// count under one name.
+class GatewayMetrics final : public edge::RequestObserver {
+ public:
+  GatewayMetrics();
+
+  void OnFinished(const edge::FinishedRequest& request) override;
+
+  std::shared_ptr<prometheus::Registry> registry() const { return registry_; }
+
+ private:
+  std::string RouteLabel(const std::string& route);
+
+  std::shared_ptr<prometheus::Registry> registry_ =
+      std::make_shared<prometheus::Registry>();
+  prometheus::Family<prometheus::Counter>& requests_;
+  prometheus::Family<prometheus::Histogram>& latency_;
+  prometheus::Histogram& queue_time_;
+  prometheus::Histogram& attempts_;
+  std::set<std::string> routes_;
+};
+
+}  // namespace comfreystand::gateway
+
+#endif  // COMFREYSTAND_SRC_GATEWAY_GATEWAY_METRICS_H_
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -67,8 +67,9 @@
   StartMembership();
   StartRules();
   StartDispatch();
-  hours_ = std::make_unique<HoursFeed>(settings_, loop_, &clock_, &store_.keys(),
-                                       transport_.get(), membership_.get());
+  hours_ =
+      std::make_unique<HoursFeed>(settings_, loop_, &clock_, &store_.keys(),
+                                  transport_.get(), membership_.get());
   vm_feed_ = std::make_unique<VmFeed>(
       &store_.vms(), transport_.get(),
       [this](const std::vector<platform::VmEntry>& vms) { OnVmList(vms); });
--- a/src/node/node_admin.cc
+++ b/src/node/node_admin.cc
@@ -8,15 +8,15 @@
 namespace comfreystand::node {
 namespace {
 
-MetricSource Counter(std::string name,
-                     std::string help,
-                     std::function<double()> read) {
+admin::MetricSource Counter(std::string name,
+                            std::string help,
+                            std::function<double()> read) {
   return {std::move(name), std::move(help), true, std::move(read), {}, {}};
 }
 
-MetricSource Gauge(std::string name,
-                   std::string help,
-                   std::function<double()> read) {
+admin::MetricSource Gauge(std::string name,
+                          std::string help,
+                          std::function<double()> read) {
   return {std::move(name), std::move(help), false, std::move(read), {}, {}};
 }
 
@@ -53,19 +53,19 @@
     return true;
   metrics_server_ = admin::MetricsServer::Create(
       loop_->base(), settings_.metrics_address.text,
-      {std::make_shared<NodeMetrics>(MetricTable())}, error);
+      {std::make_shared<admin::SourceMetrics>(MetricTable())}, error);
   return metrics_server_ != nullptr;
 }
 
-std::vector<MetricSource> Node::Impl::MetricTable() {
-  std::vector<MetricSource> table;
+std::vector<admin::MetricSource> Node::Impl::MetricTable() {
+  std::vector<admin::MetricSource> table;
   const auto edge = [this] { return edge_->GetStats(); };
   table.push_back(Counter("comfreystand_lookups_total", "Look-ups answered.",
                           [edge] { return edge().lookups; }));
   table.push_back(Counter("comfreystand_requests_total", "Requests received.",
                           [edge] { return edge().requests; }));
   for (size_t i = 0; i < edge::Stats().verdicts.size(); ++i) {
-    MetricSource source =
+    admin::MetricSource source =
         Counter("comfreystand_verdicts_total", "Requests ended, by verdict.",
                 [edge, i] { return static_cast<double>(edge().verdicts[i]); });
     source.label = "verdict";
@@ -73,7 +73,7 @@
     table.push_back(std::move(source));
   }
   for (size_t i = 0; i < static_cast<size_t>(edge::Fault::kCount); ++i) {
-    MetricSource source = Counter(
+    admin::MetricSource source = Counter(
         "comfreystand_request_faults_total", "Requests refused or cut off.",
         [edge, i] { return static_cast<double>(edge().faults[i]); });
     source.label = "fault";
--- a/src/node/node_impl.h
+++ b/src/node/node_impl.h
@@ -20,11 +20,11 @@
 #include "comfreystand/steer/change.h"
 #include "comfreystand/steer/dispatch.h"
 #include "comfreystand/steer/lookup.h"
+#include "src/admin/metric_sources.h"
 #include "src/node/admin_backend.h"
 #include "src/node/backend_directory.h"
 #include "src/node/capacity.h"
 #include "src/node/hours_feed.h"
-#include "src/node/metrics.h"
 #include "src/node/names.h"
 #include "src/node/site_directory.h"
 #include "src/node/tickets.h"
@@ -50,7 +50,7 @@
   bool StartEdge(std::string* error);
   bool StartAdmin(std::string* error);
   bool StartMetrics(std::string* error);
-  std::vector<MetricSource> MetricTable();
+  std::vector<admin::MetricSource> MetricTable();
   bool LoadBlocks(std::string* error);
   void StepBlocks();
   wire::Envelope HandlePeer(const wire::Envelope& request);
