--- a/include/comfreystand/relay_protocol.h
+++ b/include/comfreystand/relay_protocol.h
@@ -109,6 +109,8 @@
   std::string request_id;
   // Name of the route that the request matched; empty when there are none.
   std::string route;
+  // Version of the configuration that the route was found in; zero without.
+  uint64_t config_version = 0;
   // Until when the caller waits, when that differs from traits.deadline.
   TimePoint caller_deadline{};
   // Length of the body, or -1 when it comes in chunks.
--- a/src/cli/explain.cc
+++ b/src/cli/explain.cc
@@ -238,8 +238,13 @@
   for (const LogLine& line : lines) {
     const bool about_backend = Field(line, "component") == "backend" &&
                                backends.contains(Field(line, "name"));
-    if (about_backend) {
+    // Every node tells of a registration; the own one's is enough.
+    const bool repeats =
+        line.event == "registered" && !sources.contains(line.source);
+    if (about_backend && !repeats) {
       story.backends.push_back(line);
+    } else if (about_backend) {
+      continue;
     } else if (line.event != "request" && sources.contains(line.source) &&
                Field(line, "component") != "backend" &&
                IsNear(line, from, to)) {
--- a/src/edge/request_log.cc
+++ b/src/edge/request_log.cc
@@ -64,6 +64,7 @@
       "relay", kRequestEvent,
       {{"id", spec.request_id},
        {"route", spec.route},
+       {"config", std::to_string(spec.config_version)},
        {"end", std::string(kEndNames[static_cast<size_t>(end)])},
        {"status", std::to_string(relay->status())},
        {"ms", std::to_string(Millis(now - traits.arrival))},
