Slow machines are weighed, not ejected; objects leave crowded regions sooner

Cause: neighbours slow machines 2.5 times for a moment; ejecting those backend servers moved their objects to cold ones. Their slowness stands in the cost already.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -275,6 +275,7 @@
     init.tuning.cancel_lead = Duration(0);
     init.tuning.long_factor = kNoLongWork;
     init.tuning.placement.enabled = true;
+    init.tuning.straggler_factor = 10;
     return init;
   }
 
--- a/src/steer/balance_evaluate.cc
+++ b/src/steer/balance_evaluate.cc
@@ -23,7 +23,7 @@
 constexpr std::chrono::seconds kLooseAfterLoss{5};
 // Part of what the own region's slots fall short of its share of failure
 // domains that is sent to other regions from the first request on.
-constexpr double kInitialShift = 0.8;
+constexpr double kInitialShift = 1.0;
 
 Distance DistanceTo(const DispatcherInit& init, DomainId domain) {
   if (domain == init.domain) {
