--- a/include/comfreystand/gateway.h
+++ b/include/comfreystand/gateway.h
@@ -33,6 +33,12 @@
   NumericAddress directory_address;
   // Not served when empty.
   NumericAddress metrics_address;
+  // Where other nodes ask for what this one knows of the store; not served
+  // when empty.
+  NumericAddress peer_address;
+
+  // [peers]: nodes to ask while the store does not answer at the start.
+  std::vector<NumericAddress> seeds;
 
   // [store]
   NumericAddress store_address;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -91,6 +91,23 @@
   return nullptr;
 }
 
+// Addresses separated by commas; none is fine.
+const char* SetSeeds(std::string_view value, GatewaySettings* out) {
+  while (!value.empty()) {
+    const std::string_view item = value.substr(0, value.find(','));
+    value.remove_prefix(std::min(item.size() + 1, value.size()));
+    std::string host;
+    uint16_t port = 0;
+    const size_t first = std::min(item.find_first_not_of(' '), item.size());
+    const std::string text(item.substr(first));
+    if (!http::ParseAddress(text, &host, &port)) {
+      return "numeric addresses with ports, separated by commas";
+    }
+    out->seeds.push_back({text});
+  }
+  return nullptr;
+}
+
 const char* SetLogLevel(std::string_view value, GatewaySettings* out) {
   constexpr std::array<std::pair<std::string_view, LogLevel>, 4> kLevels = {
       {{"debug", LogLevel::kDebug},
@@ -122,6 +139,9 @@
      &SetAddress<&S::directory_address>},
     {"listen", "metrics", Presence::kOptional,
      &SetOptionalAddress<&S::metrics_address>},
+    {"listen", "peers", Presence::kOptional,
+     &SetOptionalAddress<&S::peer_address>},
+    {"peers", "seeds", Presence::kOptional, &SetSeeds},
     {"store", "address", Presence::kRequired, &SetAddress<&S::store_address>},
     {"limits", "max-descriptors", Presence::kOptional, &SetDescriptors},
     {"bounds", "grace", Presence::kOptional, &SetSeconds<&S::grace>},
--- a/tests/gateway_path_test.cc
+++ b/tests/gateway_path_test.cc
@@ -63,6 +63,7 @@
     settings.traffic_address.text = FreeAddress();
     settings.readiness_address.text = FreeAddress();
     settings.directory_address.text = FreeAddress();
+    settings.peer_address.text = FreeAddress();
     settings.resend_extra = 100;
     gateway = std::make_unique<PlatformGateway>(&loop, settings);
     std::string error;
@@ -146,7 +147,6 @@
   bool started = false;
   int sequence = 0;
 
- private:
   // A port that was free a moment ago.
   std::string FreeAddress() {
     const standins::Store probe(&loop, "127.0.0.1:0");
@@ -421,6 +421,37 @@
   }
 }
 
+TEST_CASE("a node that starts while the store is away") {
+  World world;
+  REQUIRE(world.UntilReady());
+  world.store.Put("op/evacuate/east-a", "{}");
+  world.store.SetFaults({.outage = Outage::kSilent});
+  gateway::GatewaySettings settings = world.settings;
+  settings.name = "front-a-2";
+  settings.traffic_address.text = world.FreeAddress();
+  settings.readiness_address.text = world.FreeAddress();
+  settings.directory_address.text = world.FreeAddress();
+  settings.peer_address.text = {};
+  // The first seed is stale.
+  settings.seeds = {{"127.0.0.1:1"}, world.settings.peer_address};
+  PlatformGateway late(&world.loop, settings);
+  std::string error;
+  REQUIRE(late.Start(&error));
+  SUBCASE("takes what it needs from a node that runs") {
+    REQUIRE(world.Until([&] { return late.gateway().Ready(); }));
+    CHECK(late.gateway().GetStats().version.value == 1);
+    CHECK(late.gateway().GetStats().backends_ready == 2);
+
+    SUBCASE("and follows the store from there once it is back") {
+      world.store.SetFaults({});
+      world.store.Put("op/config", Config(5, kExtraRoute));
+      CHECK(world.Until(
+          [&] { return late.gateway().GetStats().version.value == 5; }));
+      CHECK(world.Until([&] { return world.store.Has("nodes/front-a-2"); }));
+    }
+  }
+}
+
 TEST_CASE("a planned stop") {
   World world;
   REQUIRE(world.UntilReady());
