--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 	@bash scripts/build.sh release
 
 lint: build
+	@bash scripts/names.sh
 	@bash scripts/lint.sh
 
 test: build lint
