--- a/standins/http_server.cc
+++ b/standins/http_server.cc
@@ -26,7 +26,7 @@
 std::string Unescape(std::string_view text) {
   std::string plain;
   for (size_t i = 0; i < text.size(); ++i) {
-    const bool escaped = text[i] == '%' && i + 2 < text.size() + 0 &&
+    const bool escaped = text[i] == '%' && i + 2 < text.size() &&
                          HexValue(text[i + 1]) >= 0 &&
                          HexValue(text[i + 2]) >= 0;
     if (escaped) {
@@ -118,9 +118,7 @@
 }
 
 void Exchange::OnRequestComplete() {
-  if (!server_->silent_) {
-    server_->handler_(shared_from_this());
-  }
+  server_->handler_(shared_from_this());
 }
 
 void Exchange::OnCallerGone() {
@@ -178,7 +176,6 @@
 }
 
 void HttpServer::Accept(int fd) {
-  ++accepted_;
   const edge::CallerBounds bounds = {.header_bytes = kHeaderBytes,
                                      .header_timeout = kPatience,
                                      .idle_timeout = kPatience,
@@ -210,7 +207,7 @@
   const auto exchange = std::make_shared<Exchange>(this, connection, reply);
   open_.emplace(exchange.get(), exchange);
   reply->reader = exchange.get();
-  if (early_ && !silent_) {
+  if (early_) {
     early_(exchange);
   }
 }
--- a/standins/http_server.h
+++ b/standins/http_server.h
@@ -84,13 +84,7 @@
 
   // Listens on "a.b.c.d:port"; returns the port, or 0 when that failed.
   uint16_t Listen(const std::string& address);
-  // Refuses connections until Listen() is called again.
-  void StopListening() { listener_.reset(); }
   void CloseConnections();
-  size_t connections() const { return connections_.size(); }
-  uint64_t accepted() const { return accepted_; }
-  // What arrives on connections open now gets no answer any more.
-  void Silence() { silent_ = true; }
 
   // edge::CallerOwner:
   void OnRequestHead(edge::CallerConnection* connection,
@@ -124,8 +118,6 @@
   std::vector<std::unique_ptr<edge::CallerConnection>> closed_;
   // Exchanges whose request is being read or that have not been answered.
   std::unordered_map<Exchange*, ExchangePtr> open_;
-  uint64_t accepted_ = 0;
-  bool silent_ = false;
 };
 
 }  // namespace comfreystand::standins
