A bad body's refusal doesn't look at the reply after it is gone

Found by the address sanitizer in edge_bad_input_test (heap-use-after-free in OnBadRequest): the refusal ends the connection's last reply, which was then asked whether it had finished. The relay's own state tells.

--- a/src/edge/server_listen.cc
+++ b/src/edge/server_listen.cc
@@ -179,7 +179,9 @@
   auto* relay = static_cast<Relay*>(reply->reader);
   OnRelayAborted(relay);
   relay->Refuse(refusal);
-  if (!reply->finished) {
+  // The reply may be gone with its connection; the relay is kept until the top
+  // of the loop.
+  if (relay->state() != Relay::State::kFinished) {
     connection->Break();
   }
 }
