--- a/tests/gateway_path_test.cc
+++ b/tests/gateway_path_test.cc
@@ -60,14 +60,18 @@
     settings.region = "west";
     settings.regions_of_domains = {{"west-a", "west"}, {"east-a", "east"}};
     settings.store_address.text = store.address();
-    settings.traffic_address.text = FreeAddress();
-    settings.readiness_address.text = FreeAddress();
-    settings.directory_address.text = FreeAddress();
-    settings.peer_address.text = FreeAddress();
     settings.resend_extra = 100;
-    gateway = std::make_unique<PlatformGateway>(&loop, settings);
-    std::string error;
-    started = gateway->Start(&error);
+    // A port that was free a moment ago may be taken by now.
+    constexpr int kTries = 20;
+    for (int i = 0; i < kTries && !started; ++i) {
+      settings.traffic_address.text = FreeAddress();
+      settings.readiness_address.text = FreeAddress();
+      settings.directory_address.text = FreeAddress();
+      settings.peer_address.text = FreeAddress();
+      gateway = std::make_unique<PlatformGateway>(&loop, settings);
+      std::string error;
+      started = gateway->Start(&error);
+    }
   }
 
   void Register(const Instance& server, const char* state, int born) {
@@ -451,15 +455,23 @@
   world.store.SetFaults({.outage = Outage::kSilent});
   gateway::GatewaySettings settings = world.settings;
   settings.name = "front-a-2";
-  settings.traffic_address.text = world.FreeAddress();
-  settings.readiness_address.text = world.FreeAddress();
-  settings.directory_address.text = world.FreeAddress();
   settings.peer_address.text = {};
   // The first seed is stale.
   settings.seeds = {{"127.0.0.1:1"}, world.settings.peer_address};
-  PlatformGateway late(&world.loop, settings);
-  std::string error;
-  REQUIRE(late.Start(&error));
+  std::unique_ptr<PlatformGateway> started;
+  for (int i = 0; i < 20; ++i) {
+    settings.traffic_address.text = world.FreeAddress();
+    settings.readiness_address.text = world.FreeAddress();
+    settings.directory_address.text = world.FreeAddress();
+    started = std::make_unique<PlatformGateway>(&world.loop, settings);
+    std::string error;
+    if (started->Start(&error)) {
+      break;
+    }
+    started.reset();
+  }
+  REQUIRE(started);
+  PlatformGateway& late = *started;
   SUBCASE("takes what it needs from a node that runs") {
     REQUIRE(world.Until([&] { return late.gateway().Ready(); }));
     CHECK(late.gateway().GetStats().version.value == 1);
