A drained backend server stays drained, and ids of gone ones are used again

Cause: the registry kept only the last word of a life. After 'draining', a late 'ready' word of the same life replaced it; once the registration had ended, the next late word looked like a return and started a life for a server that was going away.

Change: 'drained' is kept for each life and ends with it; when ids run out, that of the server gone for longest is used again, and a refusal is logged.

--- a/src/gateway/backend_registry.cc
+++ b/src/gateway/backend_registry.cc
@@ -15,15 +15,32 @@
 }  // namespace
 
 BackendId BackendRegistry::NewId() {
-  if (!free_ids_.empty()) {
-    const BackendId id = free_ids_.back();
-    free_ids_.pop_back();
-    return id;
+  if (next_id_ < limits::kMaxBackends) {
+    return BackendId(next_id_++);
   }
-  if (next_id_ >= limits::kMaxBackends) {
-    return {};
+  return ForgetOldest();
+}
+
+// Frees the id of the backend server that has been gone for longest.
+BackendId BackendRegistry::ForgetOldest() {
+  while (!gone_.empty()) {
+    const Departure departure = std::move(gone_.front());
+    gone_.pop_front();
+    if (StillGone(departure)) {
+      const auto found = records_.find(departure.name);
+      const BackendId id = found->second.id;
+      records_.erase(found);
+      return id;
+    }
   }
-  return BackendId(next_id_++);
+  return {};
+}
+
+bool BackendRegistry::StillGone(const Departure& departure) const {
+  const auto found = records_.find(departure.name);
+  return found != records_.end() &&
+         found->second.state == steer::BackendState::kGone &&
+         found->second.incarnation == departure.incarnation;
 }
 
 void BackendRegistry::StartLife(Record* record,
@@ -31,6 +48,7 @@
                                 TimePoint now) {
   record->incarnation = Incarnation{next_incarnation_++};
   record->state = steer::BackendState::kLive;
+  record->drained = false;
   record->cold_until = now + entry.cold_left;
   LogStateChange(
       "backend", "registered",
@@ -47,6 +65,8 @@
   if (found == records_.end()) {
     const BackendId id = NewId();
     if (!id.IsValid()) {
+      LogStateChange("backend", "refused",
+                     {{"name", entry.name}, {"reason", "too many"}});
       return;
     }
     found = records_.emplace(entry.name, Record{}).first;
@@ -62,14 +82,13 @@
                             entry.service != record.entry.service ||
                             entry.address != record.entry.address;
     // One that left without draining may only have been out of touch.
-    const bool came_back = record.state == steer::BackendState::kGone &&
-                           record.entry.state == BackendEntry::State::kReady;
+    const bool came_back =
+        record.state == steer::BackendState::kGone && !record.drained;
     if (other_life || came_back) {
       StartLife(&record, entry, now);
     }
   }
   Record& record = found->second;
-  const bool drained = record.state != steer::BackendState::kLive;
   record.missing = false;
   record.entry = entry;
   record.cold_until = std::max(record.cold_until, now + entry.cold_left);
@@ -78,7 +97,8 @@
     record.cold_until =
         std::min(record.cold_until, std::max(now, record.warm_again));
   }
-  if (entry.state == BackendEntry::State::kDraining && !drained) {
+  if (entry.state == BackendEntry::State::kDraining && !record.drained) {
+    record.drained = true;
     record.state = steer::BackendState::kLeaving;
     LogStateChange("backend", "draining", {{"name", entry.name}});
   }
@@ -116,6 +136,13 @@
   LogStateChange("backend", "gone", {{"name", record->entry.name}});
   record->missing = false;
   record->state = steer::BackendState::kGone;
+  gone_.push_back({record->entry.name, record->incarnation});
+  if (gone_.size() > 2 * limits::kMaxBackends) {
+    // Most have come back since.
+    std::erase_if(gone_, [this](const Departure& departure) {
+      return !StillGone(departure);
+    });
+  }
   Publish(*record);
 }
 
--- a/src/gateway/backend_registry.h
+++ b/src/gateway/backend_registry.h
@@ -2,6 +2,7 @@
 #define COMFREYSTAND_SRC_GATEWAY_BACKEND_REGISTRY_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -56,9 +57,18 @@
     TimePoint warm_again{};
     // The registration is gone, but the store may only have lost it.
     bool missing = false;
+    // It has said in this life that it drains; nothing takes that back.
+    bool drained = false;
+  };
+  // A life that has ended.
+  struct Departure {
+    std::string name;
+    Incarnation incarnation;
   };
 
   BackendId NewId();
+  BackendId ForgetOldest();
+  bool StillGone(const Departure& departure) const;
   bool MostAreRegistered(const std::string& service) const;
   void StartLife(Record* record, const BackendEntry& entry, TimePoint now);
   void Finish(Record* record);
@@ -72,8 +82,8 @@
   std::map<std::string, DomainId> domains_;
   std::set<std::string> evacuated_;
   std::vector<steer::BackendUpdate> updates_;
-  // Ids of backend servers that have been gone for long.
-  std::vector<BackendId> free_ids_;
+  // In the order of their ends; some may have come back since.
+  std::deque<Departure> gone_;
   uint32_t next_id_ = 0;
   uint64_t next_incarnation_ = 1;
 };
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 
+#include "comfreystand/limits.h"
 #include "comfreystand/traffic.h"
 #include "src/gateway/backend_registry.h"
 #include "src/gateway/node_registry.h"
@@ -80,6 +81,12 @@
       CHECK(world.Last(0).state == BackendState::kLive);
       CHECK(world.Last(0).incarnation > before);
     }
+    SUBCASE("also when late words of its life come after it is gone") {
+      world.registry.Remove("a", world.now);
+      CHECK(world.Last(0).state == BackendState::kGone);
+      world.registry.Put(Entry("a"), world.now);
+      CHECK(world.Last(0).state == BackendState::kGone);
+    }
     SUBCASE("and a late word of an earlier life changes nothing") {
       world.registry.Put(Entry("a", 5), world.now);
       const Incarnation now_living = world.Last(0).incarnation;
@@ -141,6 +148,17 @@
     world.registry.Put(Entry("a"), world.now + seconds(1));
     CHECK(world.Last(0).cold_until == world.now + seconds(3));
   }
+  SUBCASE("finds room after more lives than there are ids") {
+    for (size_t i = 0; i < 2 * limits::kMaxBackends; ++i) {
+      const std::string name = "short-" + std::to_string(i);
+      world.registry.Put(Entry(name), world.now);
+      world.registry.Remove(name, world.now);
+    }
+    world.registry.Put(Entry("z"), world.now);
+    CHECK(world.registry.CountReady() == 4);
+    CHECK(world.registry.Addresses(1).size() == 4);
+    CHECK(world.Last(0).state == BackendState::kLive);
+  }
   SUBCASE("tells how long it stays cold") {
     BackendEntry cold = Entry("d");
     cold.cold_left = milliseconds(2'000);
