The HTTP client owns its calls; one copy of libevent's handles

Cause of the leaks that the sanitizer build reported (gateway_path_test 159 KB, platform_watcher_test 13 KB, node_test 48 KB, vm_feed_test 4 KB): a client that was destroyed left its calls under way, and what was to run at the top of the loop, to the loop; when that ended first, connections, requests and callbacks were never freed. Ruled out: the watcher's own state (freed once its callbacks are).

Change: the client owns calls and connections and frees them when it ends; only a connection whose callback is running is left to the loop. The five copies of ToTimeval are one, in src/loop/event_handles.h.

The lines of requests say what they are about, so that the log chooses by subject, not by name of the event; refusals name their reason, the 404 line the configuration in force (it said 0) and no negative limit; an answer that had to wait for earlier ones of its connection gets a line, which explain reads. Settings: request-lines-per-second, success-share (1 % of the requests served in order, chosen by id alike on all nodes). NodeEntry::peer_address and RelayRequest::caller_deadline, which nothing used, are gone.

Sanitizer build: the five test binaries that failed pass, without a leak.

--- a/include/comfreystand/gateway.h
+++ b/include/comfreystand/gateway.h
@@ -59,8 +59,7 @@
   double resend_extra = 20;
 
   // [log]
-  LogLevel log_level = LogLevel::kInfo;
-  LogFormat log_format = LogFormat::kJson;
+  LogSettings log{.format = LogFormat::kJson, .success_share = {0.01}};
 };
 
 struct GatewaySettingsResult {
--- a/include/comfreystand/log.h
+++ b/include/comfreystand/log.h
@@ -8,12 +8,10 @@
 #include <string_view>
 #include <vector>
 
-// Structured log lines, written for changes of state only; what happens often
-// is counted in metrics instead.
-namespace comfreystand {
+#include "comfreystand/base.h"
 
-// Event of the lines that are written for single requests.
-constexpr std::string_view kRequestEvent = "request";
+// Structured log lines, for changes of state and for single requests.
+namespace comfreystand {
 
 enum class LogLevel : uint8_t { kDebug, kInfo, kWarn, kError };
 
@@ -22,12 +20,23 @@
   std::string value;
 };
 
+// What a line is about; decides what is left out first.
+enum class LogSubject : uint8_t {
+  // What the process believes or does.
+  kState,
+  // A request that failed, was refused or needs an explanation.
+  kRequest,
+  // A request that was served in order.
+  kOrdinaryRequest,
+};
+
 // One line. `event` is a fixed lower-case name such as "rules-installed".
 struct LogEntry {
   LogLevel level = LogLevel::kInfo;
   std::string_view component;
   std::string_view event;
   std::span<const LogField> fields;
+  LogSubject subject = LogSubject::kState;
 };
 
 using LogSink = std::function<void(const LogEntry& entry)>;
@@ -43,6 +52,19 @@
 // gathering.
 bool LogEnabled(LogLevel level);
 
+// Sets which share of the requests served in order is written although the
+// level leaves them out.
+void SetLogSuccessShare(Fraction share);
+
+// Whether the line of a request would be written. The choice follows from its
+// id, so that all nodes choose the same requests.
+bool LogsRequest(LogSubject subject, std::string_view id);
+
+// Writes the line of a request for which LogsRequest() is true.
+void LogRequestLine(std::string_view event,
+                    LogSubject subject,
+                    const std::vector<LogField>& fields);
+
 // Writes an entry. Call it from the loop's thread only.
 void LogStateChange(std::string_view component,
                     std::string_view event,
--- a/include/comfreystand/relay_protocol.h
+++ b/include/comfreystand/relay_protocol.h
@@ -117,8 +117,6 @@
   std::string route;
   // Version of the configuration that the route was found in; zero without.
   uint64_t config_version = 0;
-  // Until when the caller waits, when that differs from traits.deadline.
-  TimePoint caller_deadline{};
   // Length of the body, or -1 when it comes in chunks.
   int64_t content_length = 0;
   bool head_request = false;
--- a/include/comfreystand/settings.h
+++ b/include/comfreystand/settings.h
@@ -24,6 +24,17 @@
 
 enum class LogFormat : uint8_t { kText, kJson };
 
+// What is logged, and how much of it.
+struct LogSettings {
+  LogLevel level = LogLevel::kInfo;
+  LogFormat format = LogFormat::kText;
+  // Lines about single requests; half is kept for those that failed.
+  double request_lines_per_second = 200;
+  // Share of the requests served in order that is written although the level
+  // leaves them out.
+  Fraction success_share{0};
+};
+
 // Each field is described in the settings table, from which docs/SETTINGS.md
 // is generated.
 struct NodeSettings {
--- a/include/comfreystand/traffic.h
+++ b/include/comfreystand/traffic.h
@@ -101,8 +101,6 @@
   std::string address;
   std::string domain;
   std::string region;
-  // Address of its own traffic with other nodes; empty when it has none.
-  std::string peer_address;
 };
 
 // Numbers services by their names, the same for the life of the process.
--- a/src/admin/server.cc
+++ b/src/admin/server.cc
@@ -18,6 +18,7 @@
 #include "comfreystand/admin.h"
 #include "comfreystand/http_client.h"
 #include "src/admin/api.h"
+#include "src/loop/event_handles.h"
 
 namespace comfreystand::admin {
 namespace {
@@ -32,11 +33,6 @@
   return reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(function));
 }
 
-timeval ToTimeval(Duration duration) {
-  return {.tv_sec = duration.count() / 1'000'000,
-          .tv_usec = duration.count() % 1'000'000};
-}
-
 Method ToMethod(htp_method method) {
   switch (method) {
     case htp_method_GET:
--- a/src/cli/explain.cc
+++ b/src/cli/explain.cc
@@ -127,6 +127,15 @@
   }
 }
 
+// A whole answer that could not leave before earlier ones of its connection.
+void FindWaits(const LogLine& line, Story* story) {
+  if (line.event == "answer-waited") {
+    story->findings.push_back("its answer was whole, but waited " +
+                              Field(line, "waited_ms") +
+                              " ms for earlier answers of its connection");
+  }
+}
+
 // What the node believed of a backend server and another line contradicts.
 void FindWrongBeliefs(const LogLine& line, Story* story) {
   const double when = SecondsOf(line.time);
@@ -245,7 +254,8 @@
       story.backends.push_back(line);
     } else if (about_backend) {
       continue;
-    } else if (line.event != "request" && sources.contains(line.source) &&
+    } else if (Field(line, "component") != "relay" &&
+               sources.contains(line.source) &&
                Field(line, "component") != "backend" &&
                IsNear(line, from, to)) {
       (line.event == "lines-left-out" ? story.left_out : story.state)
@@ -254,6 +264,7 @@
   }
   for (const LogLine& line : story.request) {
     FindReason(line, &story);
+    FindWaits(line, &story);
     FindSlowness(line, &story);
     FindWrongBeliefs(line, &story);
   }
--- a/src/cli/gateway_verb.cc
+++ b/src/cli/gateway_verb.cc
@@ -18,8 +18,8 @@
 using gateway::GatewaySettings;
 using platform::PlatformGateway;
 
-// Reads the settings again. What can change while the process runs is the log
-// level; a file with faults changes nothing.
+// Reads the settings again. What can change while the process runs is what is
+// logged; a file with faults changes nothing.
 void Reload(const std::string& path, const Invocation& invocation) {
   const auto text = ReadFile(path, limits::kMaxSettingsFileBytes, invocation);
   const auto parsed = gateway::ParseGatewaySettings(text.value_or(""));
@@ -30,7 +30,7 @@
                    LogLevel::kWarn);
     return;
   }
-  StartLogging(parsed.settings->log_level, parsed.settings->log_format);
+  StartLogging(parsed.settings->log);
   LogStateChange("settings", "reloaded");
 }
 
@@ -77,7 +77,7 @@
   }
   const GatewaySettings& settings = *parsed.settings;
   std::signal(SIGPIPE, SIG_IGN);
-  StartLogging(settings.log_level, settings.log_format);
+  StartLogging(settings.log);
   EventLoop loop;
   auto gateway = std::make_unique<PlatformGateway>(&loop, settings);
   gateway->gateway().AddMetric(
--- a/src/cli/log_queue.cc
+++ b/src/cli/log_queue.cc
@@ -1,27 +1,28 @@
 #include "src/cli/log_queue.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace comfreystand::cli {
 namespace {
 
-// Parts of the queue that lines may fill, by what they say.
-constexpr double kOrdinaryPart = 0.5;
-constexpr double kStatePart = 0.9;
+// Parts of the queue that lines may fill; indexed by LogSubject.
+constexpr std::array<double, 3> kParts = {0.9, 1, 0.5};
 // Part of the rate that is kept for failed requests.
 constexpr double kFailedPart = 0.5;
 constexpr double kMicrosPerSecond = 1e6;
 
 }  // namespace
 
-bool LogQueue::WithinRate(TimePoint now, LogLevel level) {
+bool LogQueue::WithinRate(TimePoint now, LogSubject subject) {
   const double rate = bounds_.request_lines_per_second;
   const double seconds =
       static_cast<double>((now - refilled_).count()) / kMicrosPerSecond;
   refilled_ = now;
   tokens_ = std::min(rate, tokens_ + rate * std::min(seconds, 1.0));
-  const double least = level == LogLevel::kDebug ? rate * kFailedPart + 1 : 1;
+  const bool ordinary = subject == LogSubject::kOrdinaryRequest;
+  const double least = ordinary ? rate * kFailedPart + 1 : 1;
   if (tokens_ < least) {
     return false;
   }
@@ -29,16 +30,12 @@
   return true;
 }
 
-void LogQueue::Add(TimePoint now,
-                   LogLevel level,
-                   bool about_request,
-                   std::string line) {
-  const bool ordinary = level == LogLevel::kDebug;
-  const double part = ordinary ? kOrdinaryPart : about_request ? 1 : kStatePart;
+void LogQueue::Add(TimePoint now, LogSubject subject, std::string line) {
+  const double part = kParts[static_cast<size_t>(subject)];
   const auto most =
       static_cast<size_t>(part * static_cast<double>(bounds_.queue_bytes));
-  if ((about_request && !WithinRate(now, level)) ||
-      bytes_ + line.size() > most) {
+  const bool bound = subject != LogSubject::kState;
+  if ((bound && !WithinRate(now, subject)) || bytes_ + line.size() > most) {
     ++left_out_;
     ++left_out_total_;
     return;
--- a/src/cli/log_queue.h
+++ b/src/cli/log_queue.h
@@ -25,9 +25,10 @@
  public:
   explicit LogQueue(const LogBounds& bounds) : bounds_(bounds) {}
 
-  // Takes a line in or leaves it out. `about_request` tells lines that are
-  // written for single requests from changes of state.
-  void Add(TimePoint now, LogLevel level, bool about_request, std::string line);
+  void SetBounds(const LogBounds& bounds) { bounds_ = bounds; }
+
+  // Takes a line in or leaves it out.
+  void Add(TimePoint now, LogSubject subject, std::string line);
 
   // Bytes to write next, at most `most` of them; empty when there are none.
   // A line is never split over two calls unless it is longer than `most`.
@@ -39,9 +40,9 @@
   uint64_t left_out_total() const { return left_out_total_; }
 
  private:
-  bool WithinRate(TimePoint now, LogLevel level);
+  bool WithinRate(TimePoint now, LogSubject subject);
 
-  const LogBounds bounds_;
+  LogBounds bounds_;
   std::deque<std::string> lines_;
   size_t bytes_ = 0;
   double tokens_ = 0;
--- a/src/cli/logging.cc
+++ b/src/cli/logging.cc
@@ -86,8 +86,10 @@
  public:
   QueueAppender() : queue_(LogBounds{}) {}
 
+  void SetBounds(const LogBounds& bounds) { queue_.SetBounds(bounds); }
+
   // Tells of the next entry what its line is about.
-  void SetAboutRequest(bool about_request) { about_request_ = about_request; }
+  void SetSubject(LogSubject subject) { subject_ = subject; }
 
   void Flush() {
     while (!queue_.empty() && TakesBytes(STDOUT_FILENO)) {
@@ -112,9 +114,7 @@
               log4cxx::helpers::Pool& pool) override {
     log4cxx::LogString line;
     getLayout()->format(line, event, pool);
-    const bool debug = event->getLevel()->equals(log4cxx::Level::getDebug());
-    queue_.Add(SystemClock().Now(), debug ? LogLevel::kDebug : LogLevel::kInfo,
-               about_request_, line);
+    queue_.Add(SystemClock().Now(), subject_, line);
     Flush();
   }
 
@@ -135,7 +135,7 @@
 
   static constexpr std::chrono::seconds kReportInterval{1};
   LogQueue queue_;
-  bool about_request_ = false;
+  LogSubject subject_ = LogSubject::kState;
   TimePoint reported_{};
 };
 
@@ -146,7 +146,8 @@
 
 }  // namespace
 
-void StartLogging(LogLevel level, LogFormat format) {
+void StartLogging(const LogSettings& settings) {
+  const LogFormat format = settings.format;
   const std::string_view pattern =
       format == LogFormat::kJson ? kJsonPattern : kTextPattern;
   auto& appender = CurrentAppender();
@@ -158,11 +159,15 @@
   appender->setLayout(
       std::make_shared<log4cxx::PatternLayout>(std::string(pattern)));
   const log4cxx::LoggerPtr logger = log4cxx::Logger::getRootLogger();
-  logger->setLevel(ToLog4cxx(level));
-  SetLogLevel(level);
+  logger->setLevel(ToLog4cxx(settings.level));
+  SetLogLevel(settings.level);
+  SetLogSuccessShare(settings.success_share);
+  LogBounds bounds;
+  bounds.request_lines_per_second = settings.request_lines_per_second;
+  appender->SetBounds(bounds);
   SetLogSink([logger, format](const LogEntry& entry) {
     const log4cxx::LevelPtr entry_level = ToLog4cxx(entry.level);
-    CurrentAppender()->SetAboutRequest(entry.event == kRequestEvent);
+    CurrentAppender()->SetSubject(entry.subject);
     logger->forcedLog(entry_level, FormatLogEntry(entry, format));
   });
 }
--- a/src/cli/logging.h
+++ b/src/cli/logging.h
@@ -8,10 +8,10 @@
 
 namespace comfreystand::cli {
 
-// Sends log entries of at least `level` to standard output, formatted by
+// Sends log entries of at least the level to standard output, formatted by
 // log4cxx. Never waits for a slow reader: lines beyond the bounds are left out
 // and counted, and the count is logged once there is room.
-void StartLogging(LogLevel level, LogFormat format);
+void StartLogging(const LogSettings& settings);
 
 // Writes what waits for the reader, as far as that one takes it.
 void FlushLog();
--- a/src/cli/node_verb.cc
+++ b/src/cli/node_verb.cc
@@ -44,7 +44,7 @@
   }
   const NodeSettings& settings = *parsed.settings;
   std::signal(SIGPIPE, SIG_IGN);
-  StartLogging(settings.log_level, settings.log_format);
+  StartLogging({.level = settings.log_level, .format = settings.log_format});
   EventLoop loop;
   std::string error;
   auto node = node::Node::Create(&loop, settings, &error);
--- a/src/edge/attempt.h
+++ b/src/edge/attempt.h
@@ -4,8 +4,8 @@
 #include <string>
 
 #include "comfreystand/edge.h"
-#include "src/edge/event_handles.h"
 #include "src/edge/http_connection.h"
+#include "src/loop/event_handles.h"
 
 namespace comfreystand::edge {
 
--- a/src/edge/caller_connection.cc
+++ b/src/edge/caller_connection.cc
@@ -173,6 +173,7 @@
 
 void CallerConnection::Finish(Reply* reply) {
   reply->finished = true;
+  reply->waited_its_turn = replies_.front().get() != reply;
   if (parsing_) {
     advance_pending_ = true;
     return;
--- a/src/edge/caller_connection.h
+++ b/src/edge/caller_connection.h
@@ -10,7 +10,7 @@
 #include <string_view>
 
 #include "comfreystand/relay_protocol.h"
-#include "src/edge/event_handles.h"
+#include "src/loop/event_handles.h"
 
 namespace comfreystand::edge {
 
@@ -42,6 +42,8 @@
   uint64_t body_bytes = 0;
   bool read_complete = false;
   bool finished = false;
+  // The answer was whole before it was its turn on the connection.
+  bool waited_its_turn = false;
   // The head of the answer said that the connection ends after it.
   bool close_after = false;
 };
--- a/src/edge/http_connection.h
+++ b/src/edge/http_connection.h
@@ -13,7 +13,7 @@
 
 #include "comfreystand/base.h"
 #include "comfreystand/relay_protocol.h"
-#include "src/edge/event_handles.h"
+#include "src/loop/event_handles.h"
 
 namespace comfreystand::edge {
 
--- a/src/edge/relay.cc
+++ b/src/edge/relay.cc
@@ -60,6 +60,7 @@
                                        connection_->MayKeepAlive(reply_)));
   state_ = State::kFinished;
   status_ = refusal.status;
+  reason_ = refusal.error;
   host_->OnRelayFinished(this, refusal.verdict, RequestEnd::kRefused);
   connection_->Finish(reply_);
 }
@@ -141,6 +142,9 @@
 }
 
 void Relay::OnReplyDone() {
+  if (reply_->waited_its_turn) {
+    host_->OnAnswerWaited(this);
+  }
   connection_ = nullptr;
   host_->OnRelayReleased(this);
 }
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -21,6 +21,8 @@
   virtual void OnRelayFinished(Relay* relay,
                                RunVerdict verdict,
                                RequestEnd end) = 0;
+  // A whole answer had to wait for earlier ones of its connection.
+  virtual void OnAnswerWaited(const Relay* relay) = 0;
   // The caller went away or sent what can't be relayed.
   virtual void OnRelayAborted(Relay* relay) = 0;
   // The caller's connection let go of the request: the relay is to be
@@ -49,6 +51,7 @@
         RelayHost* host);
 
   RelayRequest& spec() { return spec_; }
+  const RelayRequest& spec() const { return spec_; }
   State state() const { return state_; }
   RequestHandle handle() const { return handle_; }
   void set_handle(RequestHandle handle) { handle_ = handle; }
@@ -73,6 +76,11 @@
   std::vector<AttemptNote>& notes() { return notes_; }
   // Status of the answer that the caller got; 0 while there is none.
   int status() const { return status_; }
+  // Why it was refused; empty when it was not.
+  const char* reason() const { return reason_; }
+  // When the answer was whole.
+  TimePoint finished_at() const { return finished_at_; }
+  void set_finished_at(TimePoint now) { finished_at_ = now; }
 
   // Sends the request as `attempt`.
   void Feed(Attempt* attempt, HttpConnection* connection);
@@ -125,6 +133,8 @@
   Attempt* delivering_ = nullptr;
   RunVerdict delivered_verdict_ = RunVerdict::kRan;
   int status_ = 0;
+  const char* reason_ = "";
+  TimePoint finished_at_{};
   std::vector<AttemptNote> notes_;
   bool chunked_answer_ = false;
 };
--- a/src/edge/request_log.cc
+++ b/src/edge/request_log.cc
@@ -1,5 +1,6 @@
 #include "src/edge/request_log.h"
 
+#include <algorithm>
 #include <array>
 #include <string>
 #include <string_view>
@@ -13,6 +14,9 @@
 // Of a request's target in its line.
 constexpr size_t kMostTargetBytes = 200;
 
+// Of an answer behind earlier ones; shorter waits are no caller's complaint.
+constexpr std::chrono::milliseconds kLeastLoggedWait{100};
+
 // Indexed by RequestEnd.
 constexpr std::array<std::string_view, 4> kEndNames = {
     "answered", "refused", "cut-off", "caller-left"};
@@ -28,6 +32,11 @@
       .count();
 }
 
+// Time that the request had; 0 when it was refused before that was read.
+int64_t LimitMillis(const steer::RequestTraits& traits) {
+  return std::max<int64_t>(0, Millis(traits.deadline - traits.arrival));
+}
+
 // "BACKEND START+LENGTH EVENT LOAD", times in milliseconds from the arrival.
 std::string Describe(const Relay::AttemptNote& note,
                      TimePoint arrival,
@@ -51,31 +60,47 @@
 void LogRequest(Relay* relay, RequestEnd end, TimePoint now) {
   const bool in_order =
       end == RequestEnd::kAnswered && relay->status() < kFirstError;
-  const LogLevel level = in_order ? LogLevel::kDebug : LogLevel::kInfo;
-  if (!LogEnabled(level)) {
+  const LogSubject subject =
+      in_order ? LogSubject::kOrdinaryRequest : LogSubject::kRequest;
+  const RelayRequest& spec = relay->spec();
+  if (!LogsRequest(subject, spec.request_id)) {
     return;
   }
-  const RelayRequest& spec = relay->spec();
   const steer::RequestTraits& traits = spec.traits;
   std::string attempts;
   for (const Relay::AttemptNote& note : relay->notes()) {
     attempts += attempts.empty() ? "" : "; ";
     attempts += Describe(note, traits.arrival, now);
   }
-  LogStateChange(
-      "relay", kRequestEvent,
-      {{"id", spec.request_id},
-       {"route", spec.route},
-       {"method", spec.method},
-       {"target", spec.target.substr(0, kMostTargetBytes)},
-       {"config", std::to_string(spec.config_version)},
-       {"end", std::string(kEndNames[static_cast<size_t>(end)])},
-       {"status", std::to_string(relay->status())},
-       {"ms", std::to_string(Millis(now - traits.arrival))},
-       {"limit_ms", std::to_string(Millis(traits.deadline - traits.arrival))},
-       {"object", std::to_string(traits.object)},
-       {"attempts", attempts}},
-      level);
+  LogRequestLine("request", subject,
+                 {{"id", spec.request_id},
+                  {"route", spec.route},
+                  {"method", spec.method},
+                  {"target", spec.target.substr(0, kMostTargetBytes)},
+                  {"config", std::to_string(spec.config_version)},
+                  {"end", std::string(kEndNames[static_cast<size_t>(end)])},
+                  {"status", std::to_string(relay->status())},
+                  {"reason", relay->reason()},
+                  {"ms", std::to_string(Millis(now - traits.arrival))},
+                  {"limit_ms", std::to_string(LimitMillis(traits))},
+                  {"object", std::to_string(traits.object)},
+                  {"attempts", attempts}});
+}
+
+void LogWait(const Relay* relay, TimePoint now) {
+  const Duration waited = now - relay->finished_at();
+  if (waited < kLeastLoggedWait) {
+    return;
+  }
+  const RelayRequest& spec = relay->spec();
+  if (!LogsRequest(LogSubject::kRequest, spec.request_id)) {
+    return;
+  }
+  LogRequestLine("answer-waited", LogSubject::kRequest,
+                 {{"id", spec.request_id},
+                  {"route", spec.route},
+                  {"status", std::to_string(relay->status())},
+                  {"waited_ms", std::to_string(Millis(waited))}});
 }
 
 }  // namespace comfreystand::edge
--- a/src/edge/request_log.h
+++ b/src/edge/request_log.h
@@ -10,6 +10,10 @@
 // order are written at debug level, all others at info.
 void LogRequest(Relay* relay, RequestEnd end, TimePoint now);
 
+// Writes how long a whole answer waited behind earlier ones of its connection,
+// when that is long enough to matter.
+void LogWait(const Relay* relay, TimePoint now);
+
 }  // namespace comfreystand::edge
 
 #endif  // COMFREYSTAND_SRC_EDGE_REQUEST_LOG_H_
--- a/src/edge/server_actions.cc
+++ b/src/edge/server_actions.cc
@@ -268,6 +268,7 @@
 
 void Server::Impl::Conclude(Relay* relay, RequestEnd end) {
   const TimePoint now = clock_->Now();
+  relay->set_finished_at(now);
   LogRequest(relay, end, now);
   if (!init_.observer) {
     return;
@@ -284,6 +285,10 @@
        .attempts = notes.size()});
 }
 
+void Server::Impl::OnAnswerWaited(const Relay* relay) {
+  LogWait(relay, clock_->Now());
+}
+
 void Server::Impl::OnRelayAborted(Relay* relay) {
   if (by_handle_.erase(relay->handle()) > 0) {
     Conclude(relay, RequestEnd::kCallerLeft);
--- a/src/edge/server_impl.h
+++ b/src/edge/server_impl.h
@@ -58,6 +58,7 @@
   void OnRelayFinished(Relay* relay,
                        RunVerdict verdict,
                        RequestEnd end) override;
+  void OnAnswerWaited(const Relay* relay) override;
   void OnRelayAborted(Relay* relay) override;
   void OnRelayReleased(Relay* relay) override;
   void CountFault(Fault fault) override;
--- a/src/edge/side_call.h
+++ b/src/edge/side_call.h
@@ -4,8 +4,8 @@
 #include <functional>
 #include <string>
 
-#include "src/edge/event_handles.h"
 #include "src/edge/http_connection.h"
+#include "src/loop/event_handles.h"
 
 namespace comfreystand::edge {
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -48,8 +48,7 @@
         nodes_({.name = settings_.name,
                 .address = settings_.traffic_address.text,
                 .domain = settings_.domain,
-                .region = settings_.region,
-                .peer_address = {}}) {
+                .region = settings_.region}) {
     NumberDomains();
     dispatcher_ = steer::CreateDispatcher(DispatchInit());
     dispatcher_->SetPeerNodes(nodes_.Peers());
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -76,14 +76,17 @@
   return nullptr;
 }
 
-const char* SetResendRatio(std::string_view value, GatewaySettings* out) {
-  if (!ParseNumber(value, &out->resend_ratio.value) ||
-      out->resend_ratio.value < 0 || out->resend_ratio.value > 1) {
+const char* SetShare(std::string_view value, Fraction* out) {
+  if (!ParseNumber(value, &out->value) || out->value < 0 || out->value > 1) {
     return "a number from 0 to 1";
   }
   return nullptr;
 }
 
+const char* SetResendRatio(std::string_view value, GatewaySettings* out) {
+  return SetShare(value, &out->resend_ratio);
+}
+
 const char* SetResendExtra(std::string_view value, GatewaySettings* out) {
   if (!ParseNumber(value, &out->resend_extra) || out->resend_extra < 0) {
     return "a number from 0";
@@ -120,10 +123,23 @@
   if (found == kLevels.end()) {
     return "debug, info, warn or error";
   }
-  out->log_level = found->second;
+  out->log.level = found->second;
+  return nullptr;
+}
+
+const char* SetLogRate(std::string_view value, GatewaySettings* out) {
+  constexpr double kMost = 100'000;
+  double* rate = &out->log.request_lines_per_second;
+  if (!ParseNumber(value, rate) || *rate < 0 || *rate > kMost) {
+    return "a number of lines a second from 0 to 100000";
+  }
   return nullptr;
 }
 
+const char* SetSuccessShare(std::string_view value, GatewaySettings* out) {
+  return SetShare(value, &out->log.success_share);
+}
+
 using S = GatewaySettings;
 constexpr std::string_view kDomains = "domains";
 
@@ -150,6 +166,8 @@
     {"bounds", "resend-ratio", Presence::kOptional, &SetResendRatio},
     {"bounds", "resend-extra", Presence::kOptional, &SetResendExtra},
     {"log", "level", Presence::kOptional, &SetLogLevel},
+    {"log", "request-lines-per-second", Presence::kOptional, &SetLogRate},
+    {"log", "success-share", Presence::kOptional, &SetSuccessShare},
 });
 
 class Parser {
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -10,10 +10,13 @@
 
 #include <array>
 #include <charconv>
+#include <memory>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "comfreystand/limits.h"
+#include "src/loop/event_handles.h"
 
 namespace comfreystand::http {
 namespace {
@@ -21,13 +24,6 @@
 constexpr std::array<evhttp_cmd_type, 4> kCommands = {
     EVHTTP_REQ_GET, EVHTTP_REQ_PUT, EVHTTP_REQ_POST, EVHTTP_REQ_DELETE};
 
-timeval ToTimeval(Duration duration) {
-  timeval result{};
-  result.tv_sec = duration.count() / 1'000'000;
-  result.tv_usec = duration.count() % 1'000'000;
-  return result;
-}
-
 // Finds connections that went silent while they wait for an answer.
 void WatchForSilence(int fd) {
   constexpr int kOn = 1;
@@ -90,9 +86,19 @@
   return result;
 }
 
+// Owns every connection and every call that is under way.
 class Client::Impl : public std::enable_shared_from_this<Impl> {
  public:
-  Impl(event_base* base, const std::string& address) : base_(base) {
+  Impl(event_base* base, const std::string& address)
+      : base_(base),
+        deferred_(event_new(
+            base,
+            -1,
+            0,
+            [](evutil_socket_t, short, void* self) {
+              static_cast<Impl*>(self)->shared_from_this()->RunDeferred();
+            },
+            this)) {
     valid_ = ParseAddress(address, &host_, &port_);
   }
 
@@ -103,9 +109,11 @@
       FailSoon(std::move(done));
       return;
     }
-    auto* call = new PendingCall{weak_from_this(), TakeConnection(),
-                                 std::move(done), Outcome::kNotSent};
-    evhttp_request* raw = evhttp_request_new(&Impl::OnDone, call);
+    auto call = std::make_unique<PendingCall>();
+    call->owner = this;
+    call->connection = TakeConnection();
+    call->done = std::move(done);
+    evhttp_request* raw = evhttp_request_new(&Impl::OnDone, call.get());
     evhttp_request_set_error_cb(raw, &Impl::OnError);
     FillHeaders(request, raw);
     const timeval timeout = ToTimeval(request.timeout);
@@ -115,34 +123,39 @@
                             request.target.c_str()) != 0) {
       evhttp_connection_free(call->connection);
       FailSoon(std::move(call->done));
-      delete call;
+      return;
     }
+    PendingCall* key = call.get();
+    calls_[key] = std::move(call);
   }
 
+  // Ends all calls without their callbacks.
   void Close() {
-    for (evhttp_connection* connection : idle_)
-      evhttp_connection_free(connection);
-    idle_.clear();
     closed_ = true;
+    failed_.clear();
+    for (evhttp_connection* connection : std::exchange(idle_, {})) {
+      evhttp_connection_free(connection);
+    }
+    for (const auto& [key, call] : std::exchange(calls_, {})) {
+      evhttp_connection_free(call->connection);
+    }
+    for (const Finish& finish : std::exchange(finished_, {})) {
+      FreeConnection(finish.connection);
+    }
   }
 
  private:
   struct PendingCall {
-    std::weak_ptr<Impl> owner;
-    evhttp_connection* connection;
+    Impl* owner = nullptr;
+    evhttp_connection* connection = nullptr;
     ResponseCallback done;
     // Outcome when no answer arrives.
-    Outcome failure;
-  };
-
-  struct FailedCall {
-    std::weak_ptr<Impl> owner;
-    ResponseCallback done;
+    Outcome failure = Outcome::kNotSent;
   };
 
+  // A connection whose call is over.
   struct Finish {
     evhttp_connection* connection;
-    std::weak_ptr<Impl> owner;
     bool reusable;
   };
 
@@ -173,15 +186,8 @@
   }
 
   void FailSoon(ResponseCallback done) {
-    const timeval now{};
-    event_base_once(
-        base_, -1, EV_TIMEOUT,
-        [](evutil_socket_t, short, void* arg) {
-          const std::unique_ptr<FailedCall> call(static_cast<FailedCall*>(arg));
-          if (const auto impl = call->owner.lock())
-            call->done(Response{});
-        },
-        new FailedCall{weak_from_this(), std::move(done)}, &now);
+    failed_.push_back(std::move(done));
+    event_active(deferred_.get(), EV_TIMEOUT, 0);
   }
 
   // libevent calls this only for failures after the connection was made.
@@ -190,9 +196,17 @@
   }
 
   static void OnDone(evhttp_request* raw, void* arg) {
-    const std::unique_ptr<PendingCall> call(static_cast<PendingCall*>(arg));
+    auto* call = static_cast<PendingCall*>(arg);
+    // The callback of the call may drop the client.
+    const std::shared_ptr<Impl> self = call->owner->shared_from_this();
+    self->Complete(call, raw);
+  }
+
+  void Complete(PendingCall* key, evhttp_request* raw) {
+    const auto node = calls_.extract(key);
+    const PendingCall& call = *node.mapped();
     Response response;
-    response.outcome = call->failure;
+    response.outcome = call.failure;
     const int status = raw ? evhttp_request_get_response_code(raw) : 0;
     if (status != 0) {
       response.outcome = Outcome::kAnswered;
@@ -203,26 +217,41 @@
       response.body = TakeBody(raw);
     }
     // The connection may not be freed or reused from inside its callback.
-    Release(call->connection, call->owner, status != 0);
-    if (const auto impl = call->owner.lock())
-      call->done(response);
+    finished_.push_back({call.connection, status != 0});
+    event_active(deferred_.get(), EV_TIMEOUT, 0);
+    current_ = call.connection;
+    call.done(response);
+    current_ = nullptr;
+  }
+
+  void RunDeferred() {
+    for (const Finish& finish : std::exchange(finished_, {})) {
+      if (finish.reusable) {
+        idle_.push_back(finish.connection);
+      } else {
+        evhttp_connection_free(finish.connection);
+      }
+    }
+    for (const ResponseCallback& done : std::exchange(failed_, {})) {
+      if (!closed_) {
+        done(Response{});
+      }
+    }
   }
 
-  static void Release(evhttp_connection* connection,
-                      const std::weak_ptr<Impl>& owner,
-                      bool reusable) {
+  // The connection whose callback runs is freed once that is over.
+  void FreeConnection(evhttp_connection* connection) {
+    if (connection != current_) {
+      evhttp_connection_free(connection);
+      return;
+    }
     const timeval now{};
     event_base_once(
-        evhttp_connection_get_base(connection), -1, EV_TIMEOUT,
+        base_, -1, EV_TIMEOUT,
         [](evutil_socket_t, short, void* arg) {
-          const std::unique_ptr<Finish> finish(static_cast<Finish*>(arg));
-          const auto impl = finish->owner.lock();
-          if (impl && !impl->closed_ && finish->reusable)
-            impl->idle_.push_back(finish->connection);
-          else
-            evhttp_connection_free(finish->connection);
+          evhttp_connection_free(static_cast<evhttp_connection*>(arg));
         },
-        new Finish{connection, owner, reusable}, &now);
+        connection, &now);
   }
 
   event_base* base_;
@@ -231,6 +260,13 @@
   bool valid_ = false;
   bool closed_ = false;
   std::vector<evhttp_connection*> idle_;
+  std::unordered_map<PendingCall*, std::unique_ptr<PendingCall>> calls_;
+  std::vector<Finish> finished_;
+  std::vector<ResponseCallback> failed_;
+  // The connection whose call is being reported.
+  evhttp_connection* current_ = nullptr;
+  // Settles `finished_` and `failed_` from the top of the loop.
+  EventPtr deferred_;
 };
 
 Client::Client(event_base* base, std::string address)
--- a/src/load/caller_pool.cc
+++ b/src/load/caller_pool.cc
@@ -94,7 +94,7 @@
   auto call = std::make_unique<CallExchange>(this, std::move(done));
   CallExchange* raw = call.get();
   calls_.emplace(raw, std::move(call));
-  const edge::BufferPtr buffer = edge::NewBuffer();
+  const BufferPtr buffer = NewBuffer();
   evbuffer_add(buffer.get(), request.data(), request.size());
   connection->Start(raw, buffer.get(), false);
   connection->EndRequest();
--- a/src/load/caller_pool.h
+++ b/src/load/caller_pool.h
@@ -7,8 +7,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "src/edge/event_handles.h"
 #include "src/edge/http_connection.h"
+#include "src/loop/event_handles.h"
 
 namespace comfreystand::load {
 
@@ -62,7 +62,7 @@
   std::unordered_map<CallExchange*, std::unique_ptr<CallExchange>> calls_;
   std::vector<std::unique_ptr<edge::HttpConnection>> closed_;
   std::vector<std::unique_ptr<CallExchange>> retired_;
-  edge::EventPtr sweep_;
+  EventPtr sweep_;
 };
 
 }  // namespace comfreystand::load
--- a/src/load/load.cc
+++ b/src/load/load.cc
@@ -58,7 +58,7 @@
 
   Result Run() {
     start_ = next_ = clock_.Now();
-    const timeval tick = edge::ToTimeval(kTick);
+    const timeval tick = ToTimeval(kTick);
     event_add(tick_.get(), &tick);
     event_base_dispatch(base_.get());
     Summarize();
@@ -273,7 +273,7 @@
   CallerPool pool_;
   pcg64 random_;
   std::discrete_distribution<size_t> class_of_;
-  edge::EventPtr tick_;
+  EventPtr tick_;
   TimePoint start_;
   TimePoint next_;
   TimePoint reported_;
--- a/src/edge/event_handles.h
+++ b/src/loop/event_handles.h
@@ -1,17 +1,19 @@
-#ifndef COMFREYSTAND_SRC_EDGE_EVENT_HANDLES_H_
-#define COMFREYSTAND_SRC_EDGE_EVENT_HANDLES_H_
+#ifndef COMFREYSTAND_SRC_LOOP_EVENT_HANDLES_H_
+#define COMFREYSTAND_SRC_LOOP_EVENT_HANDLES_H_
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <sys/time.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <memory>
 
 #include "comfreystand/base.h"
 
-// Owning pointers for libevent objects.
-namespace comfreystand::edge {
+// Owning pointers for libevent objects, and its measure of time.
+namespace comfreystand {
 
 struct BufferDeleter {
   void operator()(evbuffer* buffer) const { evbuffer_free(buffer); }
@@ -27,12 +29,13 @@
 };
 using EventPtr = std::unique_ptr<event, EventDeleter>;
 
+// Negative durations count as none.
 inline timeval ToTimeval(Duration duration) {
   constexpr int64_t kMicrosPerSecond = 1'000'000;
-  return {duration.count() / kMicrosPerSecond,
-          duration.count() % kMicrosPerSecond};
+  const int64_t micros = std::max<int64_t>(0, duration.count());
+  return {micros / kMicrosPerSecond, micros % kMicrosPerSecond};
 }
 
-}  // namespace comfreystand::edge
+}  // namespace comfreystand
 
-#endif  // COMFREYSTAND_SRC_EDGE_EVENT_HANDLES_H_
+#endif  // COMFREYSTAND_SRC_LOOP_EVENT_HANDLES_H_
--- a/src/loop/event_loop.cc
+++ b/src/loop/event_loop.cc
@@ -1,4 +1,5 @@
 #include "comfreystand/event_loop.h"
+#include "src/loop/event_handles.h"
 
 #include <event2/event.h>
 #include <event2/thread.h>
@@ -11,14 +12,6 @@
 namespace comfreystand {
 namespace {
 
-timeval ToTimeval(Duration delay) {
-  const int64_t micros = delay.count() < 0 ? 0 : delay.count();
-  timeval result{};
-  result.tv_sec = micros / 1'000'000;
-  result.tv_usec = micros % 1'000'000;
-  return result;
-}
-
 struct SignalHandler {
   event* source = nullptr;
   std::function<void()> run;
--- a/standins/http_server.h
+++ b/standins/http_server.h
@@ -111,7 +111,7 @@
   const Handler handler_;
   const Handler early_;
   std::unique_ptr<evconnlistener, ListenerDeleter> listener_;
-  edge::EventPtr sweep_;
+  EventPtr sweep_;
   std::unordered_map<edge::CallerConnection*,
                      std::unique_ptr<edge::CallerConnection>>
       connections_;
--- a/standins/instance.h
+++ b/standins/instance.h
@@ -1,8 +1,10 @@
 #ifndef STANDINS_INSTANCE_H_
 #define STANDINS_INSTANCE_H_
 
+#include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "comfreystand/event_loop.h"
 #include "standins/http_server.h"
@@ -19,7 +21,8 @@
   int64_t work_ms = 1;
 };
 
-// The query of a request may name: work_ms, status, bytes (of the body), cut
+// The query of a request may name: work_ms, hold=1 (works until released),
+// status, bytes (of the body), cut
 // (bytes before the connection breaks), unframed=1 (ends with the connection),
 // chunked=1, extra=1 (a second answer follows the first), early=1 (answers
 // before the body is in), stamp=0 (no signature).
@@ -34,6 +37,8 @@
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
   InstanceBehaviour& behaviour() { return behaviour_; }
   HttpServer& server() { return server_; }
+  // Ends the work that requests hold.
+  void Release();
   // How often a request was run.
   int Runs(const std::string& request_id) const;
   int runs() const { return total_runs_; }
@@ -61,6 +66,7 @@
   int total_runs_ = 0;
   int busy_ = 0;
   int cancelled_ = 0;
+  std::vector<std::function<void()>> held_;
   std::vector<edge::HeaderField> last_headers_;
   std::string last_target_;
   std::string last_body_;
--- /dev/null
+++ b/tests/support/gateway_world.h
@@ -0,0 +1,171 @@
+#ifndef COMFREYSTAND_TESTS_SUPPORT_GATEWAY_WORLD_H_
+#define COMFREYSTAND_TESTS_SUPPORT_GATEWAY_WORLD_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "comfreystand/event_loop.h"
+#include "comfreystand/http_client.h"
+#include "comfreystand/platform_gateway.h"
+#include "standins/instance.h"
+#include "standins/store.h"
+#include "tests/support/edge_world.h"
+
+namespace comfreystand::testing {
+
+// Two routes to one service.
+inline constexpr char kGatewayConfig[] =
+    R"({"version":"rVERSION","routes":{)"
+    R"("look":{"host":"a.example","prefix":"/look/","kind":"idempotent",)"
+    R"("timeoutMs":3000,"goalMs":300,"priority":2,"service":"desk",)"
+    R"("maxAttempts":2,"sticky":true,"allowedRegions":[]},)"
+    R"("book":{"host":"a.example","prefix":"/book/","kind":"non_idempotent",)"
+    R"("timeoutMs":1000,"goalMs":300,"priority":1,"service":"desk",)"
+    R"("maxAttempts":2,"sticky":false,"allowedRegions":[]}EXTRA},)"
+    R"("services":{"desk":{"healthPath":"/health","maxConns":330,)"
+    R"("warmupS":3.0,"coldPerS":3.6}},)"
+    R"("limits":{"headerBytes":16384,"bodyBytes":1000000,"headerMs":3000,)"
+    R"("idleMs":15000}})";
+
+// The configuration as version `version`, with `extra` after its routes.
+inline std::string GatewayConfig(int version, const std::string& extra = {}) {
+  std::string text = kGatewayConfig;
+  text.replace(text.find("VERSION"), 7, std::to_string(version));
+  text.replace(text.find("EXTRA"), 5, extra);
+  return text;
+}
+
+// A gateway with stand-ins of its store and of backend servers on one loop.
+class GatewayWorld {
+ public:
+  explicit GatewayWorld(int instances = 2) : store(&loop, "127.0.0.1:0") {
+    store.Put("op/config", GatewayConfig(1));
+    for (int i = 0; i < instances; ++i) {
+      servers.push_back(std::make_unique<standins::Instance>(
+          &loop, "i-" + std::to_string(i)));
+      Register(*servers.back(), "ready", 1);
+    }
+    settings.name = "front-a-1";
+    settings.domain = "west-a";
+    settings.region = "west";
+    settings.regions_of_domains = {{"west-a", "west"}, {"east-a", "east"}};
+    settings.store_address.text = store.address();
+    settings.resend_extra = 100;
+    // A port that was free a moment ago may be taken by now.
+    constexpr int kTries = 20;
+    for (int i = 0; i < kTries && !started; ++i) {
+      settings.traffic_address.text = FreeAddress();
+      settings.readiness_address.text = FreeAddress();
+      settings.directory_address.text = FreeAddress();
+      settings.peer_address.text = FreeAddress();
+      gateway = std::make_unique<platform::PlatformGateway>(&loop, settings);
+      std::string error;
+      started = gateway->Start(&error);
+    }
+  }
+
+  void Register(const standins::Instance& server, const char* state, int born) {
+    ++sequence;
+    store.Put("servers/" + server.name(),
+              R"({"service":"desk","address":")" + server.address() +
+                  R"(","zone":"west-a","version":"v1","capacity":3,"state":")" +
+                  state + R"(","coldLeftMs":0,"sequence":)" +
+                  std::to_string(sequence) +
+                  ",\"born\":" + std::to_string(born) + "}");
+  }
+
+  bool Until(const std::function<bool()>& done) {
+    constexpr std::chrono::seconds kPatience{20};
+    const SystemClock clock;
+    const TimePoint end = clock.Now() + kPatience;
+    while (!done() && clock.Now() < end) {
+      loop.PostDelayed(std::chrono::milliseconds(2), [this] { loop.Stop(); });
+      loop.Run();
+    }
+    return done();
+  }
+
+  bool UntilReady() {
+    return Until([this] { return gateway->gateway().Ready(); });
+  }
+
+  http::Response Ask(const std::string& address, const std::string& target) {
+    http::Client client(loop.base(), address);
+    http::Request request;
+    request.target = target;
+    http::Response response;
+    client.Call(request, [&](const http::Response& answer) {
+      response = answer;
+      loop.Stop();
+    });
+    loop.Run();
+    return response;
+  }
+
+  std::unique_ptr<RawCaller> Call(const std::string& bytes) {
+    const std::string& address = settings.traffic_address.text;
+    const auto port = static_cast<uint16_t>(
+        std::stoi(address.substr(address.rfind(':') + 1)));
+    auto caller = std::make_unique<RawCaller>(loop.base(), port);
+    caller->Send(bytes);
+    return caller;
+  }
+
+  // Sends a request and waits for its answer.
+  std::unique_ptr<RawCaller> Fetch(const std::string& bytes) {
+    auto caller = Call(bytes);
+    Until([&] { return caller->Answers() == 1 || caller->closed(); });
+    return caller;
+  }
+
+  int Runs(const std::string& id) const {
+    int runs = 0;
+    for (const auto& server : servers) {
+      runs += server->Runs(id);
+    }
+    return runs;
+  }
+  int AllRuns() const {
+    int runs = 0;
+    for (const auto& server : servers) {
+      runs += server->runs();
+    }
+    return runs;
+  }
+
+  EventLoop loop;
+  standins::Store store;
+  std::vector<std::unique_ptr<standins::Instance>> servers;
+  gateway::GatewaySettings settings;
+  std::unique_ptr<platform::PlatformGateway> gateway;
+  bool started = false;
+  int sequence = 0;
+
+  // A port that was free a moment ago.
+  std::string FreeAddress() {
+    const standins::Store probe(&loop, "127.0.0.1:0");
+    return probe.address();
+  }
+};
+
+// The bytes of a request with an id.
+inline std::string GatewayRequest(const std::string& method,
+                                  const std::string& target,
+                                  const std::string& id,
+                                  const std::string& headers = {},
+                                  const std::string& body = {}) {
+  std::string text = method + " " + target +
+                     " HTTP/1.1\r\nHost: a.example\r\n"
+                     "Comfreystand-Request-Id: " +
+                     id + "\r\n" + headers;
+  if (!body.empty()) {
+    text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  }
+  return text + "\r\n" + body;
+}
+
+}  // namespace comfreystand::testing
+
+#endif  // COMFREYSTAND_TESTS_SUPPORT_GATEWAY_WORLD_H_
