--- a/src/cli/gateway_verb.cc
+++ b/src/cli/gateway_verb.cc
@@ -34,15 +34,6 @@
   LogStateChange("settings", "reloaded");
 }
 
-// Lines that a slow reader left waiting go out even when nothing is logged.
-void FlushLogOften(EventLoop* loop) {
-  constexpr std::chrono::milliseconds kInterval{500};
-  loop->PostDelayed(kInterval, [loop] {
-    FlushLog();
-    FlushLogOften(loop);
-  });
-}
-
 // Runs until SIGTERM or SIGINT asks for a graceful stop and it is done; a
 // second one stops at once.
 void RunUntilStopped(EventLoop* loop,
--- a/src/cli/log_queue.h
+++ b/src/cli/log_queue.h
@@ -35,6 +35,8 @@
   std::string Take(size_t most);
 
   bool empty() const { return lines_.empty(); }
+  // Bytes that wait.
+  size_t bytes() const { return bytes_; }
   // Lines left out since the last call.
   uint64_t TakeLeftOut();
   uint64_t left_out_total() const { return left_out_total_; }
--- a/src/cli/logging.cc
+++ b/src/cli/logging.cc
@@ -40,7 +40,21 @@
   return log4cxx::Level::getInfo();
 }
 
+// Whether a JSON string holds the text as it is.
+bool IsPlainJson(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) {
+    return c >= ' ' && c < 0x7f && c != '"' && c != '\\';
+  });
+}
+
 std::string JsonString(std::string_view text) {
+  if (IsPlainJson(text)) {
+    std::string quoted;
+    quoted.reserve(text.size() + 2);
+    quoted += '"';
+    quoted += text;
+    return quoted += '"';
+  }
   return nlohmann::json(std::string(text))
       .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
@@ -115,7 +129,12 @@
     log4cxx::LogString line;
     getLayout()->format(line, event, pool);
     queue_.Add(SystemClock().Now(), subject_, line);
-    Flush();
+    // Each write wakes the reader, so lines leave together; warnings at once.
+    const bool urgent =
+        event->getLevel()->isGreaterOrEqual(log4cxx::Level::getWarn());
+    if (urgent || queue_.bytes() >= kAtomicBytes) {
+      Flush();
+    }
   }
 
  private:
@@ -178,6 +197,14 @@
   }
 }
 
+void FlushLogOften(EventLoop* loop) {
+  constexpr std::chrono::milliseconds kInterval{200};
+  loop->PostDelayed(kInterval, [loop] {
+    FlushLog();
+    FlushLogOften(loop);
+  });
+}
+
 uint64_t LogLinesLeftOut() {
   const auto& appender = CurrentAppender();
   return appender ? appender->left_out() : 0;
--- a/src/cli/logging.h
+++ b/src/cli/logging.h
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "comfreystand/event_loop.h"
 #include "comfreystand/log.h"
 #include "comfreystand/settings.h"
 
@@ -16,6 +17,10 @@
 // Writes what waits for the reader, as far as that one takes it.
 void FlushLog();
 
+// Does so at intervals for as long as the loop runs; lines wait for each other
+// until then.
+void FlushLogOften(EventLoop* loop);
+
 // Lines left out since the start.
 uint64_t LogLinesLeftOut();
 
--- a/src/cli/node_verb.cc
+++ b/src/cli/node_verb.cc
@@ -54,6 +54,7 @@
     return ExitCode::kFailed;
   }
   LogStateChange("node", "started", {{"name", settings.node_name}});
+  FlushLogOften(&loop);
   RunUntilStopped(&loop, node.get());
   LogStateChange("node", "stopped", {{"name", settings.node_name}});
   node.reset();
