--- a/src/gateway/backend_registry.cc
+++ b/src/gateway/backend_registry.cc
@@ -11,6 +11,10 @@
 
 // Part of a backend server's connections that all nodes may use together.
 constexpr double kConnectionShare = 0.9;
+// Removals that come within this time may belong to one list.
+constexpr std::chrono::milliseconds kListTime{50};
+// Of so many backend servers of a service, one may leave unseen by the store.
+constexpr size_t kFewDivisor = 4;
 
 }  // namespace
 
@@ -112,24 +116,50 @@
     return;
   }
   Record& record = found->second;
-  record.missing = true;
-  if (trust_.Trusts(now) || MostAreRegistered(record.entry.service)) {
+  if (trust_.Trusts(now)) {
     Finish(&record);
+    return;
   }
+  record.missing = true;
+  last_removal_ = now;
 }
 
-// A store that lost registrations lost those of most; single ones that are
-// missing have left.
-bool BackendRegistry::MostAreRegistered(const std::string& service) const {
-  size_t registered = 0;
-  size_t missing = 0;
+// Ends what is missing of services that miss few. A store that lost
+// registrations lost those of many; few that are missing have left.
+void BackendRegistry::FinishFew() {
+  struct Count {
+    size_t live = 0;
+    size_t missing = 0;
+  };
+  std::unordered_map<std::string, Count> counts;
   for (const auto& [name, record] : records_) {
-    if (record.entry.service == service &&
-        record.state != steer::BackendState::kGone) {
-      ++(record.missing ? missing : registered);
+    if (record.state != steer::BackendState::kGone) {
+      Count& count = counts[record.entry.service];
+      ++(record.missing ? count.missing : count.live);
+    }
+  }
+  std::vector<Record*> left;
+  for (auto& [name, record] : records_) {
+    const std::string& service = record.entry.service;
+    const Count& count = counts[service];
+    if (record.missing && IsFew(service, count.live, count.missing)) {
+      left.push_back(&record);
     }
   }
-  return registered > missing;
+  for (Record* record : left) {
+    ++departed_[record->entry.service];
+    Finish(record);
+  }
+}
+
+// Counts those with that ended since the store was lost.
+bool BackendRegistry::IsFew(const std::string& service,
+                            size_t live,
+                            size_t missing) const {
+  const auto found = departed_.find(service);
+  const size_t departed = found == departed_.end() ? 0 : found->second;
+  const size_t all = live + missing + departed;
+  return departed + missing <= std::max<size_t>(1, all / kFewDivisor);
 }
 
 void BackendRegistry::Finish(Record* record) {
@@ -147,18 +177,30 @@
 }
 
 TimePoint BackendRegistry::Settle(TimePoint now) {
+  const bool trusted = trust_.Trusts(now);
+  const TimePoint list_ends = last_removal_ + kListTime;
+  if (!trusted && now >= list_ends) {
+    FinishFew();
+  }
   bool pending = false;
   for (auto& [name, record] : records_) {
-    if (!record.missing) {
-      continue;
-    }
-    if (trust_.Trusts(now)) {
+    if (record.missing && trusted) {
       Finish(&record);
-    } else {
-      pending = true;
     }
+    pending = pending || record.missing;
   }
-  return pending && !trust_.lost() ? trust_.settled_at() : TimePoint::max();
+  if (!pending) {
+    return TimePoint::max();
+  }
+  if (now < list_ends) {
+    return list_ends;
+  }
+  return trust_.lost() ? TimePoint::max() : trust_.settled_at();
+}
+
+void BackendRegistry::OnStoreLost() {
+  trust_.OnLost();
+  departed_.clear();
 }
 
 void BackendRegistry::SetEvacuated(const std::string& domain,
--- a/src/gateway/backend_registry.h
+++ b/src/gateway/backend_registry.h
@@ -27,7 +27,7 @@
   void Remove(const std::string& name, TimePoint now);
   void SetEvacuated(const std::string& domain, bool evacuated, TimePoint now);
   void SetServices(const std::vector<TrafficService>& services);
-  void OnStoreLost() { trust_.OnLost(); }
+  void OnStoreLost();
   void OnStoreRegained(TimePoint now) { trust_.OnRegained(now); }
   // Settles registrations that stayed missing. Returns when to call again;
   // the end of time when nothing is pending.
@@ -69,7 +69,8 @@
   BackendId NewId();
   BackendId ForgetOldest();
   bool StillGone(const Departure& departure) const;
-  bool MostAreRegistered(const std::string& service) const;
+  void FinishFew();
+  bool IsFew(const std::string& service, size_t live, size_t missing) const;
   void StartLife(Record* record, const BackendEntry& entry, TimePoint now);
   void Finish(Record* record);
   void Publish(const Record& record);
@@ -82,6 +83,10 @@
   std::map<std::string, DomainId> domains_;
   std::set<std::string> evacuated_;
   std::vector<steer::BackendUpdate> updates_;
+  // Since the store was lost, by service.
+  std::unordered_map<std::string, size_t> departed_;
+  // While the store is not trusted.
+  TimePoint last_removal_{};
   // In the order of their ends; some may have come back since.
   std::deque<Departure> gone_;
   uint32_t next_id_ = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -310,16 +310,17 @@
   void SettleLater() {
     const TimePoint now = loop_->Now();
     const TimePoint next = std::min(backends_.Settle(now), nodes_.Settle(now));
+    PublishSoon();
     if (next == TimePoint::max()) {
       OnNodesChanged();
       return;
     }
-    if (settle_posted_) {
+    if (next >= settle_at_) {
       return;
     }
-    settle_posted_ = true;
+    settle_at_ = next;
     Post(next - now + std::chrono::milliseconds(1), [this] {
-      settle_posted_ = false;
+      settle_at_ = TimePoint::max();
       SettleLater();
     });
   }
@@ -373,7 +374,8 @@
   bool refusing_ = false;
   bool store_lost_ = false;
   bool publish_posted_ = false;
-  bool settle_posted_ = false;
+  // When the next settling is due.
+  TimePoint settle_at_ = TimePoint::max();
   bool addresses_changed_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
