--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,8 @@
 	@bash scripts/build.sh sanitize
 	@bash scripts/test.sh sanitize
 
-# Histories under faults over many seeds; SEEDS and FIRST choose them.
+# Histories and real processes under faults over many seeds; SEEDS, FIRST and
+# LENGTH (seconds) choose them.
 soak: build
 	@bash scripts/soak.sh
 
--- /dev/null
+++ b/soak/main/soak.cc
@@ -0,0 +1,80 @@
+#include <popt.h>
+
+#include <array>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <string>
+
+#include "soak/soak.h"
+
+// Runs soaks over a range of seeds; ends with 1 when a promise was broken.
+namespace {
+
+using comfreystand::soak::RunSoak;
+using comfreystand::soak::SoakInit;
+using comfreystand::soak::SoakResult;
+
+void Print(const SoakInit& init, const SoakResult& result) {
+  std::printf("seed %llu: %zu calls, %zu served, %zu refused, %zu faults, %s\n",
+              static_cast<unsigned long long>(init.seed), result.calls,
+              result.served, result.refused, result.faults.size(),
+              result.broken.empty() ? "all promises kept" : "BROKEN");
+  for (const std::string& broken : result.broken) {
+    std::printf("  %s\n", broken.c_str());
+  }
+  if (!result.broken.empty()) {
+    for (const std::string& fault : result.faults) {
+      std::printf("  at %s\n", fault.c_str());
+    }
+    std::printf("  logs in %s\n", init.folder.c_str());
+  }
+  std::fflush(stdout);
+}
+
+}  // namespace
+
+int main(int argc, const char** argv) {
+  int first = 1;
+  int seeds = 1;
+  int length = 8;
+  int gateways = 3;
+  char* program = nullptr;
+  char* folder = nullptr;
+  const std::array<poptOption, 8> options = {{
+      {"first", 'f', POPT_ARG_INT, &first, 0, "first seed, default 1", "N"},
+      {"seeds", 'n', POPT_ARG_INT, &seeds, 0, "number of seeds", "N"},
+      {"length", 'l', POPT_ARG_INT, &length, 0, "seconds with faults", "N"},
+      {"gateways", 'g', POPT_ARG_INT, &gateways, 0, "processes", "N"},
+      {"program", 'p', POPT_ARG_STRING, static_cast<void*>(&program), 0,
+       "path of comfreystand", "PATH"},
+      {"folder", 'd', POPT_ARG_STRING, static_cast<void*>(&folder), 0,
+       "where settings and logs are kept", "PATH"},
+      POPT_AUTOHELP POPT_TABLEEND,
+  }};
+  poptContext context = poptGetContext(nullptr, argc, argv, options.data(), 0);
+  const int parsed = poptGetNextOpt(context);
+  poptFreeContext(context);
+  if (parsed != -1 || !program || !folder || seeds < 1 || gateways < 1) {
+    std::fprintf(stderr,
+                 "comfreystand-soak: needs --program and --folder; see "
+                 "--help\n");
+    return 2;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  int broken = 0;
+  for (int i = 0; i < seeds; ++i) {
+    SoakInit init;
+    init.seed = static_cast<uint64_t>(first) + static_cast<uint64_t>(i);
+    init.length = std::chrono::seconds(length);
+    init.gateways = static_cast<size_t>(gateways);
+    init.program = program;
+    init.folder = std::string(folder) + "/seed-" + std::to_string(init.seed);
+    std::filesystem::create_directories(init.folder);
+    const SoakResult result = RunSoak(init);
+    Print(init, result);
+    broken += result.broken.empty() ? 0 : 1;
+  }
+  std::printf("%d seeds, %d with broken promises\n", seeds, broken);
+  return broken == 0 ? 0 : 1;
+}
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -176,7 +176,9 @@
 
   void FillHeaders(const Request& request, evhttp_request* raw) const {
     evkeyvalq* headers = evhttp_request_get_output_headers(raw);
-    evhttp_add_header(headers, "Host", host_.c_str());
+    if (!request.headers.contains("Host")) {
+      evhttp_add_header(headers, "Host", host_.c_str());
+    }
     for (const auto& [name, value] : request.headers)
       evhttp_add_header(headers, name.c_str(), value.c_str());
     if (!request.body.empty()) {
--- a/tests/gateway_path_test.cc
+++ b/tests/gateway_path_test.cc
@@ -23,7 +23,6 @@
 using testing::GatewayConfig;
 using testing::GatewayRequest;
 using testing::GatewayWorld;
-using testing::RawCaller;
 
 constexpr char kExtraRoute[] =
     R"(,"more":{"host":"a.example","prefix":"/more/","kind":"idempotent",)"
