--- a/soak/main/soak.cc
+++ b/soak/main/soak.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <filesystem>
 #include <string>
 
@@ -32,6 +33,13 @@
   std::fflush(stdout);
 }
 
+// An option's text, which popt leaves to its caller; empty when not given.
+std::string Taken(char* option) {
+  std::string text = option ? option : "";
+  std::free(option);
+  return text;
+}
+
 }  // namespace
 
 int main(int argc, const char** argv) {
@@ -39,23 +47,26 @@
   int seeds = 1;
   int length = 8;
   int gateways = 3;
-  char* program = nullptr;
-  char* folder = nullptr;
+  char* program_option = nullptr;
+  char* folder_option = nullptr;
   const std::array<poptOption, 8> options = {{
       {"first", 'f', POPT_ARG_INT, &first, 0, "first seed, default 1", "N"},
       {"seeds", 'n', POPT_ARG_INT, &seeds, 0, "number of seeds", "N"},
       {"length", 'l', POPT_ARG_INT, &length, 0, "seconds with faults", "N"},
       {"gateways", 'g', POPT_ARG_INT, &gateways, 0, "processes", "N"},
-      {"program", 'p', POPT_ARG_STRING, static_cast<void*>(&program), 0,
+      {"program", 'p', POPT_ARG_STRING, static_cast<void*>(&program_option), 0,
        "path of comfreystand", "PATH"},
-      {"folder", 'd', POPT_ARG_STRING, static_cast<void*>(&folder), 0,
+      {"folder", 'd', POPT_ARG_STRING, static_cast<void*>(&folder_option), 0,
        "where settings and logs are kept", "PATH"},
       POPT_AUTOHELP POPT_TABLEEND,
   }};
   poptContext context = poptGetContext(nullptr, argc, argv, options.data(), 0);
   const int parsed = poptGetNextOpt(context);
   poptFreeContext(context);
-  if (parsed != -1 || !program || !folder || seeds < 1 || gateways < 1) {
+  const std::string program = Taken(program_option);
+  const std::string folder = Taken(folder_option);
+  if (parsed != -1 || program.empty() || folder.empty() || seeds < 1 ||
+      gateways < 1) {
     std::fprintf(stderr,
                  "comfreystand-soak: needs --program and --folder; see "
                  "--help\n");
@@ -69,7 +80,7 @@
     init.length = std::chrono::seconds(length);
     init.gateways = static_cast<size_t>(gateways);
     init.program = program;
-    init.folder = std::string(folder) + "/seed-" + std::to_string(init.seed);
+    init.folder = folder + "/seed-" + std::to_string(init.seed);
     std::filesystem::create_directories(init.folder);
     const SoakResult result = RunSoak(init);
     Print(init, result);
