--- a/src/edge/caller_connection_parse.cc
+++ b/src/edge/caller_connection_parse.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "src/edge/caller_connection.h"
+#include "src/edge/parse_piece.h"
 
 // From the bytes of a caller's connection to requests.
 namespace comfreystand::edge {
@@ -47,13 +48,9 @@
 // Feeds the parser with the first piece of `input`. Returns false when the
 // connection reads no further requests.
 bool CallerConnection::ParseSome(evbuffer* input) {
-  evbuffer_iovec piece;
-  evbuffer_peek(input, -1, nullptr, &piece, 1);
   parsing_ = true;
-  const size_t parsed = std::min(
-      htparser_run(parser_.get(), const_cast<htparse_hooks*>(&ParserHooks()),
-                   static_cast<const char*>(piece.iov_base), piece.iov_len),
-      piece.iov_len);
+  const auto [size, parsed] =
+      ParseFirstPiece(parser_.get(), ParserHooks(), input);
   parsing_ = false;
   if (close_pending_) {
     return false;
@@ -68,7 +65,7 @@
   }
   const htpparse_error error = htparser_get_error(parser_.get());
   if (headers_too_large_ || bad_framing_ || error != htparse_error_none ||
-      parsed < piece.iov_len) {
+      parsed < size) {
     // The parser calls a bad length too big, as it does headers.
     const bool at_length =
         incoming_ && !incoming_->head.headers.empty() &&
--- a/src/edge/http_connection.cc
+++ b/src/edge/http_connection.cc
@@ -10,6 +10,7 @@
 #include <cstdlib>
 
 #include "comfreystand/limits.h"
+#include "src/edge/parse_piece.h"
 
 namespace comfreystand::edge {
 namespace {
@@ -245,13 +246,9 @@
 }
 
 bool HttpConnection::ParseSome(evbuffer* input) {
-  evbuffer_iovec piece;
-  evbuffer_peek(input, -1, nullptr, &piece, 1);
   parsing_ = true;
-  const size_t parsed = std::min(
-      htparser_run(parser_.get(), const_cast<htparse_hooks*>(&ParserHooks()),
-                   static_cast<const char*>(piece.iov_base), piece.iov_len),
-      piece.iov_len);
+  const auto [size, parsed] =
+      ParseFirstPiece(parser_.get(), ParserHooks(), input);
   parsing_ = false;
   if (close_after_parsing_) {
     Fail(ExchangeFailure::kClosed);
@@ -273,7 +270,7 @@
     return true;
   }
   if (bad_framing_ || htparser_get_error(parser_.get()) != htparse_error_none ||
-      parsed < piece.iov_len) {
+      parsed < size) {
     Fail(ExchangeFailure::kBroken);
     return false;
   }
--- a/tests/platform_watcher_test.cc
+++ b/tests/platform_watcher_test.cc
@@ -109,6 +109,16 @@
     CHECK(world.values.size() == 5);
     CHECK(world.writes == 5);
   }
+  SUBCASE("hands out what it knows, page by page") {
+    const StoreItems first = world.watcher.Known("", 2);
+    REQUIRE(first.items.size() == 2);
+    CHECK(first.more);
+    CHECK(first.as_of == world.watcher.known_to());
+    const StoreItems rest = world.watcher.Known(first.items.back().key, 3);
+    REQUIRE(rest.items.size() == 3);
+    CHECK_FALSE(rest.more);
+    CHECK(rest.items.front().key == "p/2");
+  }
   SUBCASE("hears of writes and removals") {
     world.server.Put("p/new", "n");
     world.server.Remove("p/0");
