One free address, one wait for a condition; the platform's words leave soak/

Found by reading the whole change.

Cause: the soak wrote the platform's field names itself, outside the folders that may know them, and the names check did not look there; a port that is free for a moment was found by three functions in two ways (gateway_world, node_test, soak), and the loop that runs until a condition holds stood four times (gateway_world, platform_watcher_test, soak_test, soak).

Assertions and bounds are untouched; what the soak writes is the same but for its one service, which stands as a split of one.

--- a/soak/world.cc
+++ b/soak/world.cc
@@ -1,23 +1,18 @@
 #include "soak/world.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <array>
 #include <csignal>
 #include <fstream>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
 #include "platform/names.h"
+#include "standins/free_address.h"
+#include "standins/run_until.h"
+#include "standins/store_values.h"
 
 namespace comfreystand::soak {
 namespace {
 
-using nlohmann::json;
 namespace names = platform::names;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -29,35 +24,21 @@
 constexpr seconds kStartTime{2};
 constexpr int kFailed = 1;
 
-json Route(const char* prefix, const char* kind, int timeout_ms) {
-  return {{"host", "a.example"}, {"prefix", prefix},
-          {"kind", kind},        {"timeoutMs", timeout_ms},
-          {"goalMs", 300},       {"priority", 1},
-          {"service", "desk"},   {"maxAttempts", 2},
-          {"sticky", false},     {"allowedRegions", json::array()}};
-}
-
-// An address of this process alone, so that a gateway that starts again finds
-// its port free.
-std::string OwnHost() {
-  const auto pid = static_cast<uint32_t>(getpid());
-  return "127." + std::to_string(1 + ((pid >> 16) & 0x7f)) + "." +
-         std::to_string((pid >> 8) & 0xff) + "." + std::to_string(pid & 0xff);
-}
-
-// An address with a port from the kernel that nobody listens on.
-std::string FreeAddress() {
-  const std::string host = OwnHost();
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  inet_pton(AF_INET, host.c_str(), &address.sin_addr);
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  socklen_t size = sizeof(address);
-  if (bind(fd, reinterpret_cast<const sockaddr*>(&address), size) == 0) {
-    getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  }
-  close(fd);
-  return host + ":" + std::to_string(ntohs(address.sin_port));
+TrafficRoute RouteOf(const std::string& name,
+                     const std::string& prefix,
+                     bool idempotent,
+                     Duration time_limit) {
+  TrafficRoute route;
+  route.name = name;
+  route.host = "a.example";
+  route.prefix = prefix;
+  route.services = {{"desk", 1}};
+  route.idempotent = idempotent;
+  route.time_limit = time_limit;
+  route.goal = milliseconds(300);
+  route.rank = 1;
+  route.max_attempts = 2;
+  return route;
 }
 
 }  // namespace
@@ -68,13 +49,15 @@
   for (size_t i = 0; i < init_.backends; ++i) {
     AddBackend();
   }
+  // A gateway that starts again finds its port free.
+  const std::string host = standins::OwnHost();
   for (size_t i = 0; i < init_.gateways; ++i) {
     auto node = std::make_unique<GatewayNode>(&loop_, store_.address());
     node->name = "front-" + std::to_string(i);
-    node->traffic = FreeAddress();
-    node->readiness = FreeAddress();
-    node->directory = FreeAddress();
-    node->peers = FreeAddress();
+    node->traffic = standins::FreeAddress(host);
+    node->readiness = standins::FreeAddress(host);
+    node->directory = standins::FreeAddress(host);
+    node->peers = standins::FreeAddress(host);
     const std::string stem = init_.folder + "/" + node->name;
     node->settings_file = stem + ".ini";
     node->log_file = stem + ".log";
@@ -103,13 +86,10 @@
 }
 
 bool World::Until(Duration patience, const std::function<bool()>& done) {
-  const TimePoint end = Now() + patience;
-  while (!done() && Now() < end) {
-    loop_.PostDelayed(milliseconds(5), [this] { loop_.Stop(); });
-    loop_.Run();
+  return standins::RunUntil(&loop_, patience, [&] {
     Reap();
-  }
-  return done();
+    return done();
+  });
 }
 
 void World::StartGateway(GatewayNode* node) {
@@ -176,45 +156,40 @@
 
 void World::WriteConfig() {
   ++version_;
-  const json routes = {
-      {"look", Route("/look/", "idempotent", 3'000)},
-      {"book", Route("/book/", "non_idempotent", 1'000)},
-      {"latest", Route(("/v" + std::to_string(version_) + "/").c_str(),
-                       "idempotent", 3'000)}};
-  const json config = {{"version", "r" + std::to_string(version_)},
-                       {"routes", routes},
-                       {"services",
-                        {{"desk",
-                          {{"healthPath", "/health"},
-                           {"maxConns", 200},
-                           {"warmupS", 0.0},
-                           {"coldPerS", 50.0}}}}},
-                       {"limits",
-                        {{"headerBytes", 16'384},
-                         {"bodyBytes", 1'000'000},
-                         {"headerMs", 3'000},
-                         {"idleMs", 15'000}}}};
-  store_.Put(names::kConfigKey, config.dump());
+  TrafficConfig config;
+  config.version.value = static_cast<uint64_t>(version_);
+  config.routes = {RouteOf("look", "/look/", true, seconds(3)),
+                   RouteOf("book", "/book/", false, seconds(1)),
+                   RouteOf("latest", "/v" + std::to_string(version_) + "/",
+                           true, seconds(3))};
+  config.services = {{.name = "desk", .max_connections = 200, .cold_rate = 50}};
+  config.limits = {.header_bytes = 16'384,
+                   .body_bytes = 1'000'000,
+                   .header_timeout = seconds(3),
+                   .idle_timeout = seconds(15)};
+  store_.Put(names::kConfigKey, standins::EncodeConfig(config));
 }
 
-void World::Register(const Backend& backend, const char* state) {
-  const json entry = {{"service", "desk"}, {"address", backend.link.address()},
-                      {"zone", "west-a"},  {"version", "v1"},
-                      {"capacity", 3},     {"state", state},
-                      {"coldLeftMs", 0},   {"sequence", ++sequence_},
-                      {"born", 1}};
-  store_.Put(names::kServersPrefix + backend.server.name(), entry.dump());
+void World::Register(const Backend& backend, BackendEntry::State state) {
+  const BackendEntry entry = {.service = "desk",
+                              .address = backend.link.address(),
+                              .domain = "west-a",
+                              .state = state,
+                              .slots = 3,
+                              .born_ms = 1};
+  store_.Put(names::kServersPrefix + backend.server.name(),
+             standins::EncodeBackend(entry, ++sequence_));
 }
 
 void World::AddBackend() {
   backends_.push_back(std::make_unique<Backend>(
       &loop_, "i-" + std::to_string(backends_.size())));
-  Register(*backends_.back(), "ready");
+  Register(*backends_.back(), BackendEntry::State::kReady);
 }
 
 void World::Drain(Backend* backend) {
   backend->live = false;
-  Register(*backend, "draining");
+  Register(*backend, BackendEntry::State::kDraining);
   constexpr seconds kDrainTime{3};
   After(kDrainTime, [this, name = backend->server.name()] {
     store_.Remove(names::kServersPrefix + name);
--- a/soak/world.h
+++ b/soak/world.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "comfreystand/event_loop.h"
+#include "comfreystand/traffic.h"
 #include "soak/fault_proxy.h"
 #include "soak/ledger.h"
 #include "soak/process.h"
@@ -70,7 +71,7 @@
   void WriteConfig();
   void AddBackend();
   void Drain(Backend* backend);
-  void Register(const Backend& backend, const char* state);
+  void Register(const Backend& backend, BackendEntry::State state);
 
   // A whole number from 0 to below `count`.
   size_t Pick(size_t count);
--- a/tests/gateway_path_test.cc
+++ b/tests/gateway_path_test.cc
@@ -326,9 +326,9 @@
   settings.seeds = {{"127.0.0.1:1"}, world.settings.peer_address};
   std::unique_ptr<PlatformGateway> started;
   for (int i = 0; i < 20; ++i) {
-    settings.traffic_address.text = world.FreeAddress();
-    settings.readiness_address.text = world.FreeAddress();
-    settings.directory_address.text = world.FreeAddress();
+    settings.traffic_address.text = standins::FreeAddress();
+    settings.readiness_address.text = standins::FreeAddress();
+    settings.directory_address.text = standins::FreeAddress();
     started = std::make_unique<PlatformGateway>(&world.loop, settings);
     std::string error;
     if (started->Start(&error)) {
--- a/tests/node_test.cc
+++ b/tests/node_test.cc
@@ -12,6 +12,7 @@
 #include "comfreystand/http_client.h"
 #include "comfreystand/platform_store.h"
 #include "standins/backend.h"
+#include "standins/free_address.h"
 #include "standins/store.h"
 
 namespace comfreystand {
@@ -49,12 +50,6 @@
   std::string path_;
 };
 
-// A port that was free a moment ago.
-std::string FreeAddress(EventLoop* loop) {
-  const standins::Store probe(loop, "127.0.0.1:0");
-  return "127.0.0.1:" + std::to_string(probe.port());
-}
-
 // The platform's stand-ins and one backend server on one loop.
 class Platform {
  public:
@@ -64,8 +59,8 @@
     settings_.region = "north";
     settings_.domain = "north-a";
     settings_.site = "near";
-    settings_.edge_address.text = FreeAddress(&loop_);
-    settings_.peer_address.text = FreeAddress(&loop_);
+    settings_.edge_address.text = standins::FreeAddress();
+    settings_.peer_address.text = standins::FreeAddress();
     settings_.store_address.text = "127.0.0.1:" + std::to_string(store_.port());
     settings_.vm_list_interval = std::chrono::milliseconds(20);
     store_.Put("nodes/entry-0",
--- a/tests/platform_watcher_test.cc
+++ b/tests/platform_watcher_test.cc
@@ -7,6 +7,7 @@
 
 #include "comfreystand/event_loop.h"
 #include "platform/store_client.h"
+#include "standins/run_until.h"
 #include "standins/store.h"
 
 namespace comfreystand::platform {
@@ -69,12 +70,7 @@
   // time.
   bool Until(const std::function<bool()>& done) {
     constexpr std::chrono::seconds kPatience{20};
-    const TimePoint end = clock.Now() + kPatience;
-    while (!done() && clock.Now() < end) {
-      loop.PostDelayed(std::chrono::milliseconds(2), [this] { loop.Stop(); });
-      loop.Run();
-    }
-    return done();
+    return standins::RunUntil(&loop, kPatience, done);
   }
 
   EventLoop loop;
--- a/tests/soak_test.cc
+++ b/tests/soak_test.cc
@@ -14,6 +14,7 @@
 #include "soak/fault_proxy.h"
 #include "soak/ledger.h"
 #include "standins/instance.h"
+#include "standins/run_until.h"
 
 namespace comfreystand::soak {
 namespace {
@@ -109,12 +110,7 @@
   }
   bool Until(const std::function<bool()>& done,
              Duration patience = std::chrono::seconds(20)) {
-    const TimePoint end = loop.Now() + patience;
-    while (!done() && loop.Now() < end) {
-      loop.PostDelayed(std::chrono::milliseconds(2), [this] { loop.Stop(); });
-      loop.Run();
-    }
-    return done();
+    return standins::RunUntil(&loop, patience, done);
   }
   // Gives what must not happen some time to happen.
   void Wait() {
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -9,7 +9,9 @@
 #include "comfreystand/event_loop.h"
 #include "comfreystand/http_client.h"
 #include "comfreystand/platform_gateway.h"
+#include "standins/free_address.h"
 #include "standins/instance.h"
+#include "standins/run_until.h"
 #include "standins/store.h"
 #include "tests/support/edge_world.h"
 
@@ -56,10 +58,10 @@
     // A port that was free a moment ago may be taken by now.
     constexpr int kTries = 20;
     for (int i = 0; i < kTries && !started; ++i) {
-      settings.traffic_address.text = FreeAddress();
-      settings.readiness_address.text = FreeAddress();
-      settings.directory_address.text = FreeAddress();
-      settings.peer_address.text = FreeAddress();
+      settings.traffic_address.text = standins::FreeAddress();
+      settings.readiness_address.text = standins::FreeAddress();
+      settings.directory_address.text = standins::FreeAddress();
+      settings.peer_address.text = standins::FreeAddress();
       gateway = std::make_unique<platform::PlatformGateway>(&loop, settings);
       std::string error;
       started = gateway->Start(&error);
@@ -78,13 +80,7 @@
 
   bool Until(const std::function<bool()>& done) {
     constexpr std::chrono::seconds kPatience{20};
-    const SystemClock clock;
-    const TimePoint end = clock.Now() + kPatience;
-    while (!done() && clock.Now() < end) {
-      loop.PostDelayed(std::chrono::milliseconds(2), [this] { loop.Stop(); });
-      loop.Run();
-    }
-    return done();
+    return standins::RunUntil(&loop, kPatience, done);
   }
 
   bool UntilReady() {
@@ -142,12 +138,6 @@
   std::unique_ptr<platform::PlatformGateway> gateway;
   bool started = false;
   int sequence = 0;
-
-  // A port that was free a moment ago.
-  std::string FreeAddress() {
-    const standins::Store probe(&loop, "127.0.0.1:0");
-    return probe.address();
-  }
 };
 
 // The bytes of a request with an id.
