Deliver chunks of the fault proxy whose timer fired early

Cause: timers of the loop count from its cached time, so a chunk's timer may fire before the chunk is due. Ruled out: the client and the stand-in server, which answer once the bytes arrive. Change: Deliver() arms the timer again for the chunk that is left. Test: 300 exchanges with two delayed chunks each.

--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -123,9 +123,13 @@
     }
     if (due <= now) {
       Deliver(endpoint);
-      return;
+    } else {
+      DeliverAfter(due - now, endpoint);
     }
-    proxy_->loop_->PostDelayed(due - now, [weak = weak_from_this(), endpoint] {
+  }
+
+  void DeliverAfter(Duration delay, Endpoint* endpoint) {
+    proxy_->loop_->PostDelayed(delay, [weak = weak_from_this(), endpoint] {
       if (const auto connection = weak.lock()) {
         connection->Deliver(endpoint);
       }
@@ -142,8 +146,12 @@
       bufferevent_write_buffer(other, endpoint->chunks.front().bytes.get());
       endpoint->chunks.pop_front();
     }
-    if (!endpoint->peer_closed || !endpoint->chunks.empty() ||
-        IsStalled(*endpoint)) {
+    if (!endpoint->chunks.empty()) {
+      // Loop timers count from cached time and can fire before the chunk is due.
+      DeliverAfter(endpoint->chunks.front().due - now, endpoint);
+      return;
+    }
+    if (!endpoint->peer_closed || IsStalled(*endpoint)) {
       return;
     }
     bufferevent_flush(other, EV_WRITE, BEV_FLUSH);
--- a/tests/soak_test.cc
+++ b/tests/soak_test.cc
@@ -169,5 +169,18 @@
   CHECK(fixture.loop.Now() - begin >= 2 * kDelay);
 }
 
+TEST_CASE("a fault proxy delivers every delayed chunk") {
+  // Each exchange passes two delayed chunks. Timers that fire before a chunk is
+  // due must not leave it behind.
+  LinkFixture fixture;
+  fixture.link.SetFaults({.delay = std::chrono::milliseconds(3)});
+  for (int exchange = 0; exchange < 300; ++exchange) {
+    fixture.response.reset();
+    fixture.SendRequest("r" + std::to_string(exchange));
+    REQUIRE(fixture.RunUntil([&] { return fixture.response.has_value(); },
+                             std::chrono::seconds(5)));
+  }
+}
+
 }  // namespace
 }  // namespace comfreystand::soak
