Advance the virtual time of the fair queue when a request is served

Cause: requests that started were removed by Remove(), which does not advance the virtual time, so the tags of a long-known caller grew with every request and new callers passed it. With placement the opposite happened: all waiting requests were popped, started or not. Change: TakeFront() takes an entry, OnServed() advances the time, Restore() puts back what could not start. Test: a caller with 100 earlier requests beside a new one under overload.

--- a/src/steer/admission_queue.cc
+++ b/src/steer/admission_queue.cc
@@ -37,10 +37,15 @@
   return heap_.empty() ? nullptr : &heap_.front();
 }
 
-void FairQueue::PopFront() {
-  virtual_time_ = std::max(virtual_time_, heap_.front().start_tag);
+QueueEntry FairQueue::TakeFront() {
   std::pop_heap(heap_.begin(), heap_.end(), ServedAfter);
+  const QueueEntry entry = heap_.back();
   heap_.pop_back();
+  return entry;
+}
+
+void FairQueue::OnServed(const QueueEntry& entry) {
+  virtual_time_ = std::max(virtual_time_, entry.start_tag);
 }
 
 std::optional<QueueEntry> FairQueue::PopLast() {
--- a/src/steer/admission_queue.h
+++ b/src/steer/admission_queue.h
@@ -35,12 +35,17 @@
   void Restore(const QueueEntry& entry);
 
   const QueueEntry* Front() const;
-  void PopFront();
+
+  // Removes the front entry and returns it. Restore() puts it back if it can't
+  // be served; otherwise OnServed() must follow.
+  QueueEntry TakeFront();
+  // Advances the virtual time to a served entry.
+  void OnServed(const QueueEntry& entry);
 
   // Removes and returns the entry that would be served last.
   std::optional<QueueEntry> PopLast();
 
-  // Removes one request in linear time.
+  // Removes a request that is not served, in linear time.
   void Remove(RequestHandle request);
 
   uint32_t size() const { return static_cast<uint32_t>(heap_.size()); }
@@ -51,7 +56,7 @@
   std::vector<QueueEntry> heap_;
   boost::unordered_flat_map<CallerId, uint64_t, std::hash<CallerId>>
       last_start_tag_;
-  // Highest start tag among the requests popped so far.
+  // Highest start tag among the requests served so far.
   uint64_t virtual_time_ = 0;
 };
 
--- a/src/steer/dispatch_admit.cc
+++ b/src/steer/dispatch_admit.cc
@@ -184,12 +184,13 @@
     const bool misses_goal =
         traits.goal.count() > 0 &&
         now + request->expected > traits.arrival + traits.goal;
-    waiting.push_back({*front, misses_goal, traits.arrival});
-    queue.PopFront();
+    waiting.push_back({queue.TakeFront(), misses_goal, traits.arrival});
   }
   std::sort(waiting.begin(), waiting.end());
   for (const WaitingRequest& next : waiting) {
-    if (!StartRequest(now, service, next.entry.request)) {
+    if (StartRequest(now, service, next.entry.request)) {
+      queue.OnServed(next.entry);
+    } else {
       queue.Restore(next.entry);
     }
   }
@@ -214,14 +215,10 @@
 bool DispatcherCore::StartFront(TimePoint now, Service* service, Lane lane) {
   FairQueue& queue = service->queues[static_cast<size_t>(lane)];
   const QueueEntry* front = queue.Front();
-  if (front == nullptr) {
+  if (front == nullptr || !StartRequest(now, service, front->request)) {
     return false;
   }
-  const QueueEntry entry = *front;
-  if (!StartRequest(now, service, entry.request)) {
-    return false;
-  }
-  queue.Remove(entry.request);
+  queue.OnServed(queue.TakeFront());
   return true;
 }
 
--- a/tests/dispatch_test.cc
+++ b/tests/dispatch_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <optional>
 #include <vector>
 
@@ -267,5 +268,49 @@
   }
 }
 
+TEST_CASE("under overload, a caller known for long and a new one alternate") {
+  DispatcherFixture fixture;
+  fixture.AddBackend(0);
+  constexpr CallerId kKnownCaller(1);
+  constexpr CallerId kNewCaller(2);
+  const auto send = [&fixture](CallerId caller) {
+    return fixture.Send(true, kShortClass, 10s, caller);
+  };
+  for (int i = 0; i < 100; ++i) {
+    send(kKnownCaller);
+    const Action start = fixture.ExpectNext(ActionType::kStartAttempt);
+    fixture.Report(start.attempt, AttemptEvent::kAnswered);
+    fixture.ExpectNext(ActionType::kDeliver);
+  }
+  // Fills all slots, so that further requests queue.
+  std::vector<AttemptHandle> running;
+  for (int i = 0; i < 3; ++i) {
+    send(CallerId(3));
+    running.push_back(fixture.ExpectNext(ActionType::kStartAttempt).attempt);
+  }
+  std::vector<RequestHandle> known;
+  std::vector<RequestHandle> fresh;
+  for (int i = 0; i < 2; ++i) {
+    known.push_back(send(kKnownCaller));
+  }
+  for (int i = 0; i < 2; ++i) {
+    fresh.push_back(send(kNewCaller));
+  }
+  std::vector<RequestHandle> served;
+  for (const AttemptHandle attempt : running) {
+    fixture.Report(attempt, AttemptEvent::kAnswered);
+    fixture.ExpectNext(ActionType::kDeliver);
+    served.push_back(fixture.ExpectNext(ActionType::kStartAttempt).request);
+  }
+  const auto served_of = [&served](const std::vector<RequestHandle>& all) {
+    return std::count_if(all.begin(), all.end(), [&](RequestHandle request) {
+      return std::find(served.begin(), served.end(), request) != served.end();
+    });
+  };
+  CHECK(served.front() == known.front());
+  CHECK(served_of(known) == 2);
+  CHECK(served_of(fresh) == 1);
+}
+
 }  // namespace
 }  // namespace comfreystand::steer
