Give a new connection to the store 0.5 s to be established

Cause: a call's timeout also bounded the time to connect, so a watch that was to wait long waited as long for a lost opening packet, which is sent again only after seconds; after a healed cut a node could stay without news for that time. Change: a connection that isn't established yet gets 0.5 s, and the call's own timeout starts with its first byte. Test: a listener whose queue is full; the old code waits beyond 5 s, the new one reports within 1 s.

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <memory>
@@ -24,6 +25,11 @@
 constexpr std::array<evhttp_cmd_type, 4> kCommands = {
     EVHTTP_REQ_GET, EVHTTP_REQ_PUT, EVHTTP_REQ_POST, EVHTTP_REQ_DELETE};
 
+// Time for a new connection to be established. Shorter than the time after which
+// a lost opening packet is sent again, so that the next attempt starts earlier
+// than that.
+constexpr Duration kConnectTimeout{500'000};
+
 // Enables TCP keepalive and limits the time that sent bytes may stay
 // unacknowledged, so that a dead connection is detected while a call waits for
 // its answer.
@@ -43,15 +49,6 @@
              sizeof(kUnacknowledgedMillis));
 }
 
-// Sets the socket options when bytes leave the output buffer, because the
-// socket exists only then.
-void OnOutputChanged(evbuffer*, const evbuffer_cb_info* info, void* arg) {
-  const int fd = bufferevent_getfd(static_cast<bufferevent*>(arg));
-  if (info->n_deleted > 0 && fd >= 0) {
-    EnableKeepAlive(fd);
-  }
-}
-
 std::string ReadBody(evhttp_request* request) {
   evbuffer* input = evhttp_request_get_input_buffer(request);
   const size_t size = evbuffer_get_length(input);
@@ -114,18 +111,16 @@
     }
     auto call = std::make_unique<PendingCall>();
     call->owner = this;
-    call->connection = AcquireConnection();
+    call->connection = AcquireConnection(request.timeout);
     call->done = std::move(done);
     evhttp_request* native_request =
         evhttp_request_new(&Impl::OnDone, call.get());
     evhttp_request_set_error_cb(native_request, &Impl::OnError);
     FillHeaders(request, native_request);
-    const timeval timeout = ToTimeval(request.timeout);
-    evhttp_connection_set_timeout_tv(call->connection, &timeout);
     const auto command = kCommands[static_cast<size_t>(request.method)];
     if (evhttp_make_request(call->connection, native_request, command,
                             request.target.c_str()) != 0) {
-      evhttp_connection_free(call->connection);
+      FreeConnection(call->connection);
       PostFailure(std::move(call->done));
       return;
     }
@@ -138,10 +133,10 @@
     closed_ = true;
     failed_callbacks_.clear();
     for (evhttp_connection* connection : std::exchange(idle_connections_, {})) {
-      evhttp_connection_free(connection);
+      FreeConnection(connection);
     }
     for (const auto& [key, call] : std::exchange(pending_calls_, {})) {
-      evhttp_connection_free(call->connection);
+      FreeConnection(call->connection);
     }
     for (const FinishedCall& finished : std::exchange(finished_calls_, {})) {
       FreeConnection(finished.connection);
@@ -157,27 +152,70 @@
     Outcome failure = Outcome::kNotSent;
   };
 
+  // Timeout of the call on a connection.
+  struct Timeout {
+    evhttp_connection* connection = nullptr;
+    Duration call{0};
+  };
+
   // A connection whose call has completed.
   struct FinishedCall {
     evhttp_connection* connection;
     bool reusable;
   };
 
-  evhttp_connection* AcquireConnection() {
-    if (!idle_connections_.empty()) {
-      evhttp_connection* connection = idle_connections_.back();
+  // Returns an idle or a new connection whose next call ends after
+  // `call_timeout` without an answer.
+  evhttp_connection* AcquireConnection(Duration call_timeout) {
+    evhttp_connection* connection = nullptr;
+    if (idle_connections_.empty()) {
+      connection = OpenConnection();
+    } else {
+      connection = idle_connections_.back();
       idle_connections_.pop_back();
-      return connection;
     }
+    Timeout& timeout = *timeouts_.at(connection);
+    timeout.call = call_timeout;
+    const bool connected =
+        bufferevent_getfd(evhttp_connection_get_bufferevent(connection)) >= 0;
+    SetTimeout(connection, connected ? call_timeout
+                                     : std::min(call_timeout, kConnectTimeout));
+    return connection;
+  }
+
+  evhttp_connection* OpenConnection() {
     evhttp_connection* connection =
         evhttp_connection_base_new(base_, nullptr, host_.c_str(), port_);
     evhttp_connection_set_max_body_size(
         connection, static_cast<ev_ssize_t>(limits::kMaxStoreValueBytes * 2));
+    auto timeout = std::make_unique<Timeout>();
+    timeout->connection = connection;
     bufferevent* bev = evhttp_connection_get_bufferevent(connection);
-    evbuffer_add_cb(bufferevent_get_output(bev), &OnOutputChanged, bev);
+    evbuffer_add_cb(bufferevent_get_output(bev), &OnOutputChanged,
+                    timeout.get());
+    timeouts_.emplace(connection, std::move(timeout));
     return connection;
   }
 
+  static void SetTimeout(evhttp_connection* connection, Duration timeout) {
+    const timeval time = ToTimeval(timeout);
+    evhttp_connection_set_timeout_tv(connection, &time);
+  }
+
+  // Bytes of a request leave the output buffer once the connection is
+  // established. Only then the socket exists and the call's own timeout starts.
+  static void OnOutputChanged(evbuffer*,
+                              const evbuffer_cb_info* info,
+                              void* arg) {
+    const auto* timeout = static_cast<Timeout*>(arg);
+    const int fd = bufferevent_getfd(
+        evhttp_connection_get_bufferevent(timeout->connection));
+    if (info->n_deleted > 0 && fd >= 0) {
+      EnableKeepAlive(fd);
+      SetTimeout(timeout->connection, timeout->call);
+    }
+  }
+
   void FillHeaders(const Request& request,
                    evhttp_request* native_request) const {
     evkeyvalq* headers = evhttp_request_get_output_headers(native_request);
@@ -238,7 +276,7 @@
       if (finished.reusable) {
         idle_connections_.push_back(finished.connection);
       } else {
-        evhttp_connection_free(finished.connection);
+        FreeConnection(finished.connection);
       }
     }
     for (const ResponseCallback& done : std::exchange(failed_callbacks_, {})) {
@@ -252,15 +290,24 @@
   void FreeConnection(evhttp_connection* connection) {
     if (connection != reporting_connection_) {
       evhttp_connection_free(connection);
+      timeouts_.erase(connection);
       return;
     }
+    struct Deferred {
+      evhttp_connection* connection;
+      std::unique_ptr<Timeout> timeout;
+    };
+    auto* deferred =
+        new Deferred{connection, std::move(timeouts_.at(connection))};
+    timeouts_.erase(connection);
     const timeval now{};
     event_base_once(
         base_, -1, EV_TIMEOUT,
         [](evutil_socket_t, short, void* arg) {
-          evhttp_connection_free(static_cast<evhttp_connection*>(arg));
+          const std::unique_ptr<Deferred> owned(static_cast<Deferred*>(arg));
+          evhttp_connection_free(owned->connection);
         },
-        connection, &now);
+        deferred, &now);
   }
 
   event_base* base_;
@@ -269,6 +316,8 @@
   bool valid_ = false;
   bool closed_ = false;
   std::vector<evhttp_connection*> idle_connections_;
+  // Of all connections.
+  std::unordered_map<evhttp_connection*, std::unique_ptr<Timeout>> timeouts_;
   std::unordered_map<PendingCall*, std::unique_ptr<PendingCall>> pending_calls_;
   std::vector<FinishedCall> finished_calls_;
   std::vector<ResponseCallback> failed_callbacks_;
--- a/tests/platform_store_test.cc
+++ b/tests/platform_store_test.cc
@@ -1,12 +1,18 @@
 #include "comfreystand/platform_store.h"
 
+#include <arpa/inet.h>
 #include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "comfreystand/event_loop.h"
 #include "platform/store_client.h"
+#include "platform/store_codec.h"
 #include "standins/store.h"
 
 namespace comfreystand {
@@ -220,6 +226,64 @@
   CHECK(result == StoreStatus::kUnavailable);
 }
 
+// A listener that accepts nothing and whose queue is full, so that opening
+// packets get no answer, as behind a partition.
+class UnansweringListener {
+ public:
+  UnansweringListener() {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    bind(listener_, reinterpret_cast<const sockaddr*>(&address), size);
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+    listen(listener_, 0);
+    port_ = ntohs(address.sin_port);
+    for (const int fd : queued_) {
+      connect(fd, reinterpret_cast<const sockaddr*>(&address), size);
+    }
+  }
+  ~UnansweringListener() {
+    close(listener_);
+    for (const int fd : queued_) {
+      close(fd);
+    }
+  }
+  UnansweringListener(const UnansweringListener&) = delete;
+  UnansweringListener& operator=(const UnansweringListener&) = delete;
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+
+ private:
+  static int Socket(int flags) {
+    return socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | flags, 0);
+  }
+  const int listener_ = Socket(0);
+  const std::array<int, 4> queued_ = {
+      Socket(SOCK_NONBLOCK), Socket(SOCK_NONBLOCK), Socket(SOCK_NONBLOCK),
+      Socket(SOCK_NONBLOCK)};
+  uint16_t port_ = 0;
+};
+
+TEST_CASE("a store that does not answer opening packets") {
+  Fixture fixture;
+  const UnansweringListener listener;
+  SystemClock clock;
+  platform::StoreClient client(fixture.loop.base(), &clock, listener.address());
+  const TimePoint begin = fixture.loop.Now();
+  std::optional<CallStatus> result;
+  client.Watch("p/", {}, std::chrono::seconds(30),
+               [&](CallStatus status, const StoreItems&) {
+                 result = status;
+                 fixture.loop.Stop();
+               });
+  fixture.RunFor(std::chrono::seconds(5));
+  REQUIRE(result.has_value());
+  // A long watch must not delay the next attempt to connect.
+  CHECK(fixture.loop.Now() - begin < std::chrono::seconds(1));
+  CHECK(*result == CallStatus::kUnavailable);
+}
+
 TEST_CASE("leases") {
   Fixture fixture;
   const LeaseId lease = fixture.GrantLease(std::chrono::milliseconds(60));
