Read the store through one node of each failure domain

Change: in a failure domain with three nodes or more, the node whose name hashes lowest reads the store and serves its copies (platform/peer_feed), changes by long polling; the others read from it (platform/domain_reader).

--- a/fuzz/platform_fuzz.cc
+++ b/fuzz/platform_fuzz.cc
@@ -6,7 +6,7 @@
 #include <string_view>
 
 #include "platform/decode.h"
-#include "platform/store_client.h"
+#include "platform/store_codec.h"
 
 namespace {
 
--- a/include/comfreystand/gateway.h
+++ b/include/comfreystand/gateway.h
@@ -139,6 +139,10 @@
   DirectoryAnswer Lookup(std::string_view region,
                          std::string_view domain) const;
 
+  // Address of the node through which this one reads the store; empty when it
+  // reads the store itself.
+  std::string DomainReaderAddress() const;
+
   // Stops gracefully and calls `done`. The node must have been removed from the
   // store before.
   void BeginStop(std::function<void()> done);
--- a/include/comfreystand/traffic.h
+++ b/include/comfreystand/traffic.h
@@ -102,6 +102,9 @@
   std::string address;
   std::string domain;
   std::string region;
+  // Address at which other nodes read this node's copies of the store's items;
+  // empty when it serves none.
+  std::string peer_address;
 };
 
 // Assigns ids to service names. An id is valid until the process exits.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -158,6 +158,10 @@
         .ttl = std::min<Duration>(kLookupAnswerTtl, settings_.max_answer_ttl)};
   }
 
+  std::string DomainReaderAddress() const {
+    return nodes_.DomainReaderAddress();
+  }
+
   void BeginStop(std::function<void()> done) {
     stopping_ = true;
     on_stopped_ = std::move(done);
@@ -439,6 +443,9 @@
                                 std::string_view domain) const {
   return impl_->Lookup(region, domain);
 }
+std::string Gateway::DomainReaderAddress() const {
+  return impl_->DomainReaderAddress();
+}
 void Gateway::BeginStop(std::function<void()> done) {
   impl_->BeginStop(std::move(done));
 }
--- a/src/gateway/node_registry.cc
+++ b/src/gateway/node_registry.cc
@@ -7,6 +7,9 @@
 
 // Maximum number of addresses in one look-up answer.
 constexpr size_t kMaxAnswerAddresses = 64;
+// Failure domains with fewer nodes save too few calls to the store to depend on
+// one of them.
+constexpr size_t kMinNodesToShareReads = 3;
 
 }  // namespace
 
@@ -70,6 +73,25 @@
   return addresses;
 }
 
+std::string NodeRegistry::DomainReaderAddress() const {
+  size_t nodes = 0;
+  const NodeEntry* reader = nullptr;
+  for (const auto& [name, record] : nodes_) {
+    const NodeEntry& node = record.entry;
+    if (node.domain != self_.domain || node.peer_address.empty() ||
+        record.missing) {
+      continue;
+    }
+    ++nodes;
+    if (!reader || StableHash(name) < StableHash(reader->name)) {
+      reader = &node;
+    }
+  }
+  const bool reads_itself = nodes < kMinNodesToShareReads || withdrawn_ ||
+                            reader->name == self_.name;
+  return reads_itself ? "" : reader->peer_address;
+}
+
 steer::PeerNodes NodeRegistry::Peers() const {
   steer::PeerNodes peers;
   peers.self = StableHash(self_.name);
--- a/standins/store.cc
+++ b/standins/store.cc
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "platform/store_client.h"
+#include "platform/store_codec.h"
 
 namespace comfreystand::standins {
 namespace {
@@ -22,13 +22,6 @@
 constexpr std::chrono::milliseconds kLeaseCheckInterval{20};
 constexpr std::chrono::milliseconds kMaxWatchWait{30'000};
 
-int64_t IntegerOr(const json& object, const char* name, int64_t fallback) {
-  const auto found = object.find(name);
-  return found != object.end() && found->is_number_integer()
-             ? found->get<int64_t>()
-             : fallback;
-}
-
 std::string_view LastSegment(std::string_view path) {
   return path.substr(path.rfind('/') + 1);
 }
@@ -135,11 +128,14 @@
   ++calls_.ranges;
   const std::string prefix = exchange->Query("prefix");
   const std::string after = exchange->Query("after");
+  const bool stale = stale_revision_ > 0 && exchange->Query("staleOk") == "1";
+  const std::map<std::string, Entry>& entries =
+      stale ? stale_entries_ : entries_;
   std::string items;
   size_t count = 0;
   bool more = false;
-  for (auto position = entries_.lower_bound(prefix);
-       position != entries_.end() && position->first.starts_with(prefix);
+  for (auto position = entries.lower_bound(prefix);
+       position != entries.end() && position->first.starts_with(prefix);
        ++position) {
     if (!after.empty() && position->first <= after) {
       continue;
@@ -153,7 +149,8 @@
   }
   Send(exchange, kOk,
        "{\"items\":[" + items + "],\"hasMore\":" + (more ? "true" : "false") +
-           ",\"asOf\":" + std::to_string(revision_) + "}");
+           ",\"asOf\":" +
+           std::to_string(stale ? stale_revision_ : revision_) + "}");
 }
 
 void Store::HandleWatch(const ExchangePtr& exchange) {
@@ -265,7 +262,7 @@
     const auto found = entries_.find(item.at("key").get<std::string>());
     const int64_t current =
         found == entries_.end() ? 0 : found->second.revision;
-    if (current != IntegerOr(item, "revision", 0)) {
+    if (current != platform::IntegerOr(item, "revision", 0)) {
       std::string items;
       if (found != entries_.end()) {
         items = ItemText(found->first, found->second);
@@ -275,14 +272,14 @@
     }
   }
   for (const json& item : puts) {
-    const int64_t lease = IntegerOr(item, "lease", 0);
+    const int64_t lease = platform::IntegerOr(item, "lease", 0);
     if (lease != 0 && !leases_.contains(lease)) {
       return kNotFound;
     }
   }
   for (const json& item : puts) {
     Entry entry;
-    entry.lease = IntegerOr(item, "lease", 0);
+    entry.lease = platform::IntegerOr(item, "lease", 0);
     if (!platform::DecodeBase64(item.at("value").get<std::string>(),
                                 &entry.value)) {
       return kBadRequest;
@@ -320,7 +317,7 @@
   ++calls_.leases;
   const json request = json::parse(exchange->body(), nullptr, false);
   const int64_t millis =
-      request.is_object() ? IntegerOr(request, "ttlMs", 0) : 0;
+      request.is_object() ? platform::IntegerOr(request, "ttlMs", 0) : 0;
   if (millis <= 0) {
     Send(exchange, kBadRequest, "{}");
     return;
--- a/standins/store.h
+++ b/standins/store.h
@@ -72,6 +72,11 @@
   bool Has(const std::string& key) const { return entries_.contains(key); }
   // Compacts the history, so that watches from older revisions get 410.
   void Compact();
+  // Reads that may be stale see the items as of now until the next call.
+  void KeepStaleCopy() {
+    stale_entries_ = entries_;
+    stale_revision_ = revision_;
+  }
   // Sets the max number of items in one page of a range.
   void SetPageSize(size_t items) { page_items_ = items; }
 
@@ -137,6 +142,9 @@
   int64_t next_lease_ = 1;
   size_t page_items_ = 500;
   std::map<std::string, Entry> entries_;
+  // Answer to reads that may be stale; unused while the revision is zero.
+  std::map<std::string, Entry> stale_entries_;
+  int64_t stale_revision_ = 0;
   std::map<int64_t, Lease> leases_;
   std::deque<Event> history_;
   // Watches from before this revision get 410.
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "comfreystand/limits.h"
@@ -244,6 +245,66 @@
   }
 }
 
+NodeEntry NodeWithFeed(const std::string& name, const std::string& domain) {
+  NodeEntry node = Node(name, domain, "west");
+  node.peer_address = name + ":81";
+  return node;
+}
+
+TEST_CASE("the node that reads the store for a failure domain") {
+  const TimePoint now{seconds(100)};
+  const std::vector<std::string> names = {"w1", "w2", "w3", "w4"};
+  std::vector<NodeRegistry> registries;
+  for (const std::string& name : names) {
+    registries.emplace_back(NodeWithFeed(name, "west-a"));
+  }
+  const auto put = [&](const NodeEntry& node) {
+    for (NodeRegistry& registry : registries) {
+      registry.Put(node, now);
+    }
+  };
+  // The choices of all nodes; an empty one means that the node reads itself.
+  const auto choices = [&] {
+    std::set<std::string> chosen;
+    for (const NodeRegistry& registry : registries) {
+      chosen.insert(registry.DomainReaderAddress());
+    }
+    return chosen;
+  };
+  put(NodeWithFeed("w1", "west-a"));
+  put(NodeWithFeed("w2", "west-a"));
+  put(NodeWithFeed("x1", "west-b"));
+
+  SUBCASE("is none where the domain has few nodes") {
+    CHECK(choices() == std::set<std::string>{""});
+  }
+  SUBCASE("is none where few nodes serve their copies") {
+    put(Node("w3", "west-a", "west"));
+    CHECK(choices() == std::set<std::string>{""});
+  }
+  SUBCASE("is one of the domain's nodes, the same for all of them") {
+    put(NodeWithFeed("w3", "west-a"));
+    put(NodeWithFeed("w4", "west-a"));
+    const std::set<std::string> chosen = choices();
+    REQUIRE(chosen.size() == 2);
+    CHECK(chosen.contains(""));
+    SUBCASE("and another one when it is gone") {
+      const std::string address = *chosen.rbegin();
+      for (NodeRegistry& registry : registries) {
+        registry.Remove(address.substr(0, address.find(':')), now);
+      }
+      CHECK_FALSE(choices().contains(address));
+      CHECK(choices().size() == 2);
+    }
+    SUBCASE("and not used by a node that stops") {
+      for (NodeRegistry& registry : registries) {
+        registry.WithdrawSelf();
+      }
+      CHECK(choices() == std::set<std::string>{""});
+    }
+  }
+}
+
 TrafficRoute Route(const std::string& prefix) {
   TrafficRoute route;
   route.name = prefix;
--- a/tests/platform_watcher_test.cc
+++ b/tests/platform_watcher_test.cc
@@ -21,6 +21,7 @@
   explicit FailingReader(Loop* loop) : loop_(loop) {}
   void Range(std::string_view,
              std::string_view,
+             Consistency,
              StoreClient::ItemsCallback done) override {
     Fail(std::move(done));
   }
@@ -224,6 +225,31 @@
   CHECK(fixture.values.size() == 1);
 }
 
+TEST_CASE("a watcher whose list is older than the last changes") {
+  Fixture fixture;
+  fixture.server.Put("p/left", "v");
+  fixture.server.Put("p/stays", "old");
+  fixture.server.KeepStaleCopy();
+  fixture.server.Remove("p/left");
+  fixture.server.Put("p/stays", "new");
+  fixture.server.Put("p/joined", "v");
+  SUBCASE("reports only what is current") {
+    fixture.watcher.Start();
+    REQUIRE(fixture.RunUntil([&] { return fixture.list_count == 1; }));
+    CHECK(fixture.values == std::map<std::string, std::string>{
+                                {"p/joined", "v"}, {"p/stays", "new"}});
+    CHECK(fixture.write_count == 2);
+  }
+  SUBCASE("lists again when the history after the list is compacted") {
+    fixture.server.Compact();
+    fixture.watcher.Start();
+    REQUIRE(fixture.RunUntil([&] { return fixture.list_count == 1; }));
+    CHECK_FALSE(fixture.values.contains("p/left"));
+    CHECK(fixture.values["p/stays"] == "new");
+    CHECK(fixture.server.calls().ranges == 2);
+  }
+}
+
 TEST_CASE("a watcher that starts while no node reaches the store") {
   Fixture fixture;
   fixture.peer_server.SetFaults({.outage = Outage::kUnavailable});
