Cut off bytes without end from backend servers

Cause: only bodies had a limit. Change: at most 64 KB between two bytes of a body, 64 KB and one second for the body of a refusal, 8 MB of answers to earlier requests; then the connection is closed, which for an attempt that was sent means may have run.

--- a/include/comfreystand/limits.h
+++ b/include/comfreystand/limits.h
@@ -47,6 +47,13 @@
 constexpr size_t kMaxRequestHeaderBytes = 16'384;
 constexpr size_t kMaxRequestBodyBytes = size_t{8} << 20;
 constexpr size_t kMaxAnswerBodyBytes = size_t{64} << 20;
+// Status line and headers of an answer, or its chunk framing between two bytes
+// of the body.
+constexpr size_t kMaxAnswerHeadBytes = size_t{64} << 10;
+// Answers to earlier requests that are read past on a connection.
+constexpr size_t kMaxSkippedAnswerBytes = size_t{8} << 20;
+// Body of an answer that refuses a request; the body isn't forwarded.
+constexpr size_t kMaxRefusalBodyBytes = size_t{64} << 10;
 constexpr size_t kMaxReplayBodyBytes = size_t{256} << 10;
 // Bytes buffered for a slow receiver before reading from the sender is paused.
 constexpr size_t kRelayBufferBytes = size_t{256} << 10;
--- a/src/edge/attempt.cc
+++ b/src/edge/attempt.cc
@@ -130,6 +130,8 @@
     return;
   }
   if (refused_) {
+    // The connection can be used again only if the body ends soon.
+    SetTimer(cancel_timeout_);
     ReportOnce(AttemptEvent::kRefused);
     return;
   }
@@ -153,7 +155,12 @@
 
 void Attempt::OnAnswerBody(const char* data, size_t size) {
   body_bytes_ += size;
-  if (refused_ || discarded_ || cancelling_) {
+  if (refused_ && body_bytes_ > limits::kMaxRefusalBodyBytes) {
+    connection_->Close();
+    return;
+  }
+  const bool ignored = refused_ || discarded_ || cancelling_;
+  if (ignored && body_bytes_ <= max_answer_bytes_) {
     return;
   }
   if (body_bytes_ > max_answer_bytes_) {
--- a/src/edge/http_connection.cc
+++ b/src/edge/http_connection.cc
@@ -106,6 +106,7 @@
   head_request_ = head_request;
   request_ended_ = false;
   wrote_since_timeout_ = false;
+  bytes_since_body_ = 0;
   ResetAnswer();
   if (state_ == State::kOpen) {
     SetProgressTimeout(true);
@@ -253,6 +254,14 @@
   const auto [size, parsed] =
       ParseFirstPiece(parser_.get(), ParserHooks(), input);
   parsing_ = false;
+  bytes_since_body_ += parsed;
+  const size_t max_bytes_since_body = skipping_answer_
+                                          ? limits::kMaxSkippedAnswerBytes
+                                          : limits::kMaxAnswerHeadBytes;
+  if (!complete_ && bytes_since_body_ > max_bytes_since_body) {
+    Fail(ExchangeFailure::kBroken);
+    return false;
+  }
   if (close_after_parsing_) {
     Fail(ExchangeFailure::kClosed);
     return false;
@@ -303,6 +312,7 @@
     };
     hooks.body = [](htparser* parser, const char* data, size_t size) {
       if (!Self(parser)->skipping_answer_) {
+        Self(parser)->bytes_since_body_ = 0;
         Self(parser)->exchange_->OnAnswerBody(data, size);
       }
       return Self(parser)->close_after_parsing_ ? -1 : 0;
--- a/src/edge/http_connection.h
+++ b/src/edge/http_connection.h
@@ -164,6 +164,9 @@
   bool bad_framing_ = false;
   // The answer being read belongs to an earlier request.
   bool skipping_answer_ = false;
+  // Bytes read since the start of the exchange or its last byte of a body.
+  // Bounds heads, chunk lengths, trailers and answers to earlier requests.
+  size_t bytes_since_body_ = 0;
   Duration keep_alive_timeout_{0};
   AnswerHead head_;
 };
--- /dev/null
+++ b/tests/gateway_endless_answer_test.cc
@@ -0,0 +1,114 @@
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+
+#include "comfreystand/limits.h"
+#include "tests/support/endless_server.h"
+#include "tests/support/gateway_fixture.h"
+
+// Backend servers that send bytes without end, which are no answer or no
+// answer to the request, until the gateway closes the connection.
+namespace comfreystand::platform {
+namespace {
+
+using testing::EndlessServer;
+using testing::GatewayFixture;
+using testing::GatewayRequest;
+
+constexpr char kOkHead[] =
+    "HTTP/1.1 200 OK\r\n"
+    "Comfreystand-Request-Id: r1\r\n"
+    "Comfreystand-Server-Stamp: 1\r\n";
+
+struct Case {
+  const char* name;
+  std::string begin;
+  std::string block;
+  // What the caller may get of the answer.
+  enum class Forwarded : uint8_t {
+    kNothing,
+    // A body that breaks off.
+    kPart,
+    // The whole body came before the bytes without end.
+    kWhole,
+  };
+  Forwarded forwarded = Forwarded::kNothing;
+};
+
+std::string Chunk(size_t size) {
+  char length[16];
+  std::snprintf(length, sizeof(length), "%zx\r\n", size);
+  return length + std::string(size, 'x') + "\r\n";
+}
+
+const Case kCases[] = {
+    {"garbage", "", "\x01\x02garbage"},
+    {"a status line", "HTTP/1.1 200 O", "K"},
+    {"header fields", kOkHead, "A: aaaaaaaaaaaaaaaaaaaaaaaa\r\n"},
+    {"one header field", std::string(kOkHead) + "A: ", "a"},
+    {"one header name", kOkHead, "a"},
+    {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+    {"a chunk length",
+     std::string(kOkHead) + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+    {"trailers",
+     std::string(kOkHead) +
+         "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n",
+     "A: aaaaaaaaaaaaaaaaaaaaaaaa\r\n", Case::Forwarded::kWhole},
+    {"a body in chunks",
+     std::string(kOkHead) + "Transfer-Encoding: chunked\r\n\r\n", Chunk(8'192),
+     Case::Forwarded::kPart},
+    {"a body that ends with the connection", std::string(kOkHead) + "\r\n",
+     std::string(8'192, 'x'), Case::Forwarded::kPart},
+    {"the body of a refusal",
+     "HTTP/1.1 503 Unavailable\r\nComfreystand-Request-Id: r1\r\n"
+     "Comfreystand-Not-Executed: full\r\nTransfer-Encoding: chunked\r\n\r\n",
+     Chunk(8'192)},
+    {"the answer to another request",
+     "HTTP/1.1 200 OK\r\nComfreystand-Request-Id: other\r\n"
+     "Comfreystand-Server-Stamp: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+     Chunk(8'192)},
+    {"answers to other requests", "",
+     "HTTP/1.1 200 OK\r\nComfreystand-Request-Id: other\r\n"
+     "Comfreystand-Server-Stamp: 1\r\nContent-Length: 1\r\n\r\nx"},
+};
+
+TEST_CASE("bytes without end from a backend server are cut off") {
+  for (const Case& c : kCases) {
+    CAPTURE(std::string(c.name));
+    GatewayFixture fixture(0);
+    EndlessServer server(fixture.loop.base(), c.begin, c.block);
+    fixture.store.Put("servers/i-0",
+                      R"({"service":"desk","address":")" + server.address() +
+                          R"(","zone":"west-a","capacity":3,"state":"ready",)"
+                          R"("coldLeftMs":0,"sequence":1,"born":1})");
+    REQUIRE(fixture.WaitUntil([&] {
+      return fixture.gateway->gateway().GetStats().backends_ready == 1;
+    }));
+    const TimePoint begin = fixture.loop.Now();
+    const auto caller = fixture.OpenCaller(GatewayRequest(
+        "POST", "/book/x", "r1",
+        "Connection: close\r\nComfreystand-Deadline-Ms: 60000\r\n", "b"));
+    REQUIRE(fixture.WaitUntil(
+        [&] { return caller->closed() && server.open_connections() == 0; }));
+    constexpr size_t kSocketBuffers = size_t{16} << 20;
+    if (c.forwarded == Case::Forwarded::kPart) {
+      CHECK(server.bytes_sent() < limits::kMaxAnswerBodyBytes + kSocketBuffers);
+      // Doesn't look complete.
+      CHECK_FALSE(caller->HasReceived("\r\n0\r\n"));
+      CHECK(caller->failed());
+      continue;
+    }
+    // Long before the route's time limit of one second.
+    CHECK(fixture.loop.Now() - begin < std::chrono::milliseconds(500));
+    CHECK(server.bytes_sent() < kSocketBuffers);
+    if (c.forwarded == Case::Forwarded::kWhole) {
+      CHECK(caller->LastStatus() == 200);
+    } else {
+      CHECK(caller->LastStatus() >= 500);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace comfreystand::platform
--- /dev/null
+++ b/tests/support/endless_server.h
@@ -0,0 +1,47 @@
+#ifndef COMFREYSTAND_TESTS_SUPPORT_ENDLESS_SERVER_H_
+#define COMFREYSTAND_TESTS_SUPPORT_ENDLESS_SERVER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+struct bufferevent;
+struct event_base;
+struct evconnlistener;
+
+namespace comfreystand::testing {
+
+// A backend server that answers each connection with the same bytes, followed
+// by a block that is repeated until the connection closes.
+class EndlessServer {
+ public:
+  EndlessServer(event_base* base, std::string begin, std::string block);
+  ~EndlessServer();
+  EndlessServer(const EndlessServer&) = delete;
+  EndlessServer& operator=(const EndlessServer&) = delete;
+
+  std::string address() const;
+  // Bytes that left the program.
+  size_t bytes_sent() const { return bytes_sent_; }
+  size_t open_connections() const { return connections_.size(); }
+
+ private:
+  static void OnEvent(bufferevent* connection, short events, void* self);
+  void Accept(int fd);
+  void Begin(bufferevent* connection);
+  void Send(bufferevent* connection);
+  void Close(bufferevent* connection);
+
+  event_base* const base_;
+  const std::string begin_;
+  const std::string block_;
+  evconnlistener* listener_;
+  std::vector<bufferevent*> connections_;
+  size_t bytes_sent_ = 0;
+};
+
+}  // namespace comfreystand::testing
+
+#endif  // COMFREYSTAND_TESTS_SUPPORT_ENDLESS_SERVER_H_
