--- a/tests/platform_domain_reader_test.cc
+++ b/tests/platform_domain_reader_test.cc
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <numeric>
 #include <string>
 
 #include "comfreystand/event_loop.h"
@@ -173,7 +174,30 @@
   SUBCASE("loses the store only when neither answers") {
     fixture.serving->is_recent = false;
     fixture.store.SetFaults({.outage = Outage::kUnavailable});
-    CHECK(fixture.RunUntil([&] { return fixture.copy.lost_count == 1; }));
+    REQUIRE(fixture.RunUntil([&] { return fixture.copy.lost_count == 1; }));
+    const auto calls = [&fixture] {
+      const auto& counts = fixture.client.stats().calls;
+      return std::accumulate(counts.begin(), counts.end(), uint64_t{0});
+    };
+    SUBCASE("tries the store seldom, as the other node does it for both") {
+      const uint64_t calls_before = calls();
+      fixture.RunUntil([] { return false; }, std::chrono::seconds(4));
+      CHECK(calls() - calls_before <= 3);
+    }
+    SUBCASE("is current soon after the store answers again") {
+      fixture.RunUntil([] { return false; }, std::chrono::seconds(1));
+      fixture.store.Put("p/1", "v");
+      fixture.store.SetFaults({});
+      fixture.serving->is_recent = true;
+      CHECK(fixture.Sees("p/1", kFreshness));
+    }
+    SUBCASE("tries the store more often when the other node is gone") {
+      fixture.serving.reset();
+      fixture.RunUntil([] { return false; }, std::chrono::seconds(3));
+      fixture.store.Put("p/1", "v");
+      fixture.store.SetFaults({});
+      CHECK(fixture.Sees("p/1", kFreshness));
+    }
   }
 }
 
