Reset connections whose request is given up

Cause: close() leaves unsent bytes to the kernel, which goes on sending them. Ruled out: a stale view of the node, which knew of the leaving. Change: a connection that fails while its request is unanswered is reset, which drops what has not arrived; the same for calls to the store and to other nodes. The soak's fault proxy drops held-up bytes on a reset, as a broken path does.

--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -12,6 +12,7 @@
 
 #include "comfreystand/http_client.h"
 #include "src/loop/event_handles.h"
+#include "src/loop/reset_on_close.h"
 
 namespace comfreystand::soak {
 namespace {
@@ -24,12 +25,6 @@
   return address;
 }
 
-// Makes close() reset the connection.
-void EnableResetOnClose(int fd) {
-  const linger reset = {.l_onoff = 1, .l_linger = 0};
-  setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-}
-
 struct BufferEventDeleter {
   void operator()(bufferevent* handle) const { bufferevent_free(handle); }
 };
@@ -96,6 +91,12 @@
   }
   static void OnEvent(bufferevent*, short events, void* endpoint) {
     auto* self = static_cast<Endpoint*>(endpoint);
+    if ((events & BEV_EVENT_ERROR) != 0 &&
+        self->connection->IsStalled(*self)) {
+      // As on a broken path, a reset drops the bytes that are held up.
+      self->connection->Reset();
+      return;
+    }
     if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
       self->peer_closed = true;
       self->connection->Read(self);
--- a/src/edge/http_connection.cc
+++ b/src/edge/http_connection.cc
@@ -11,6 +11,7 @@
 
 #include "comfreystand/limits.h"
 #include "src/edge/parse_piece.h"
+#include "src/loop/reset_on_close.h"
 
 namespace comfreystand::edge {
 namespace {
@@ -415,6 +416,10 @@
     close_after_parsing_ = true;
     return;
   }
+  if (exchange_ && state_ == State::kOpen) {
+    // The request is given up, so it must not arrive later.
+    EnableResetOnClose(bufferevent_getfd(bev_));
+  }
   state_ = State::kClosed;
   evbuffer_remove_cb_entry(bufferevent_get_output(bev_), output_callback_);
   bufferevent_free(bev_);
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -18,6 +18,7 @@
 
 #include "comfreystand/limits.h"
 #include "src/loop/event_handles.h"
+#include "src/loop/reset_on_close.h"
 
 namespace comfreystand::http {
 namespace {
@@ -276,7 +277,7 @@
       if (finished.reusable) {
         idle_connections_.push_back(finished.connection);
       } else {
-        FreeConnection(finished.connection);
+        ResetConnection(finished.connection);
       }
     }
     for (const ResponseCallback& done : std::exchange(failed_callbacks_, {})) {
@@ -286,6 +287,17 @@
     }
   }
 
+  // Frees a connection whose call was given up, so that the call doesn't arrive
+  // later.
+  void ResetConnection(evhttp_connection* connection) {
+    const int fd =
+        bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    if (fd >= 0) {
+      EnableResetOnClose(fd);
+    }
+    FreeConnection(connection);
+  }
+
   // A connection whose callback is running is freed after the callback returns.
   void FreeConnection(evhttp_connection* connection) {
     if (connection != reporting_connection_) {
