Believe removals at once when only this node had lost the store

Cause: a node that has the store back keeps missing registrations for 2.4 s, as owners that lapsed during an outage register again. Ruled out: a stale connection; the trace shows the removal known 2.4 s before it was believed. Tests: the registry's cases; a broken path beside an outage of the store.

--- a/include/comfreystand/gateway.h
+++ b/include/comfreystand/gateway.h
@@ -132,6 +132,8 @@
   // The store stopped answering, or answers again.
   void OnStoreLost();
   void OnStoreRegained();
+  // Other nodes had the store all the time since it was lost to this one.
+  void OnStoreServedOthers();
 
   // True when look-ups may return this node.
   bool Ready() const;
--- a/src/gateway/backend_registry.cc
+++ b/src/gateway/backend_registry.cc
@@ -124,7 +124,7 @@
     return;
   }
   Record& record = found->second;
-  if (store_recovery_.IsComplete(now)) {
+  if (IsRemovalCertain(record, now)) {
     MarkGone(&record);
     return;
   }
@@ -209,8 +209,24 @@
                                 : store_recovery_.completes_at();
 }
 
+bool BackendRegistry::IsRemovalCertain(const Record& record,
+                                       TimePoint now) const {
+  return store_recovery_.IsComplete(now) ||
+         (others_served_ && record.entry.domain != own_domain_);
+}
+
+void BackendRegistry::OnStoreServedOthers(TimePoint now) {
+  others_served_ = true;
+  for (auto& [name, record] : records_) {
+    if (record.missing && IsRemovalCertain(record, now)) {
+      MarkGone(&record);
+    }
+  }
+}
+
 void BackendRegistry::OnStoreLost() {
   store_recovery_.OnLost();
+  others_served_ = false;
   confirmed_removals_.clear();
 }
 
--- a/src/gateway/backend_registry.h
+++ b/src/gateway/backend_registry.h
@@ -22,7 +22,10 @@
 // server is gone.
 class BackendRegistry {
  public:
-  explicit BackendRegistry(ServiceRegistry* services) : services_(services) {}
+  // `own_domain` is the failure domain of this node.
+  explicit BackendRegistry(ServiceRegistry* services,
+                           std::string own_domain = {})
+      : services_(services), own_domain_(std::move(own_domain)) {}
 
   void Put(const BackendEntry& entry, TimePoint now);
   void Remove(const std::string& name, TimePoint now);
@@ -30,6 +33,10 @@
   void SetServices(const std::vector<TrafficService>& services);
   void OnStoreLost();
   void OnStoreRegained(TimePoint now) { store_recovery_.OnRegained(now); }
+  // Other nodes had the store all the time since it was lost to this one, so
+  // registrations are missing there for good. Those of this node's own failure
+  // domain may have been cut off from the store together with the node.
+  void OnStoreServedOthers(TimePoint now);
   // Marks backend servers gone whose registrations have stayed missing. Returns
   // the time of the next call, or TimePoint::max() when nothing is pending.
   TimePoint ConfirmRemovals(TimePoint now);
@@ -80,10 +87,14 @@
                         const BackendEntry& entry,
                         TimePoint now);
   void MarkGone(Record* record);
+  // Whether a missing registration means that the backend server is gone.
+  bool IsRemovalCertain(const Record& record, TimePoint now) const;
   void QueueUpdate(const Record& record);
   const TrafficService* ServiceOf(const Record& record) const;
 
   ServiceRegistry* const services_;
+  const std::string own_domain_;
+  bool others_served_ = false;
   StoreRecovery store_recovery_;
   std::unordered_map<std::string, Record> records_;
   std::unordered_map<std::string, TrafficService> services_by_name_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -47,7 +47,7 @@
       : loop_(loop),
         settings_(std::move(settings)),
         gateway_(gateway),
-        backends_(&services_),
+        backends_(&services_, settings_.domain),
         nodes_({.name = settings_.name,
                 .address = settings_.traffic_address.text,
                 .domain = settings_.domain,
@@ -149,6 +149,12 @@
     ConfirmRemovals();
   }
 
+  void OnStoreServedOthers() {
+    LogStateChange("store", "others-served");
+    backends_.OnStoreServedOthers(loop_->Now());
+    PublishSoon();
+  }
+
   bool Ready() const { return routes_ && backends_listed_ && !stopping_; }
 
   DirectoryAnswer Lookup(std::string_view region,
@@ -436,6 +442,9 @@
 void Gateway::OnStoreRegained() {
   impl_->OnStoreRegained();
 }
+void Gateway::OnStoreServedOthers() {
+  impl_->OnStoreServedOthers();
+}
 bool Gateway::Ready() const {
   return impl_->Ready();
 }
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -204,6 +204,42 @@
   }
 }
 
+TEST_CASE("registrations that are missing after a node lost the store") {
+  const TimePoint now{seconds(100)};
+  ServiceRegistry services;
+  BackendRegistry backends(&services, "west-a");
+  for (int i = 0; i < 8; ++i) {
+    BackendEntry entry = Entry("i-" + std::to_string(i));
+    entry.domain = i < 4 ? "west-a" : "west-b";
+    backends.Put(entry, now);
+  }
+  backends.OnStoreLost();
+  backends.OnStoreRegained(now);
+  for (const char* name : {"i-0", "i-1", "i-4", "i-5", "i-6"}) {
+    backends.Remove(name, now);
+  }
+  SUBCASE("are kept until their owners could have registered again") {
+    backends.ConfirmRemovals(now + seconds(1));
+    CHECK(backends.CountReady() == 8);
+    backends.ConfirmRemovals(now + seconds(3));
+    CHECK(backends.CountReady() == 3);
+  }
+  SUBCASE("are of backend servers that are gone when others had the store") {
+    backends.OnStoreServedOthers(now);
+    SUBCASE("unless they share the failure domain of the node") {
+      CHECK(backends.CountReady() == 5);
+      backends.Remove("i-7", now);
+      backends.Remove("i-2", now);
+      CHECK(backends.CountReady() == 4);
+    }
+    SUBCASE("until the store is lost again") {
+      backends.OnStoreLost();
+      backends.Remove("i-7", now);
+      CHECK(backends.CountReady() == 5);
+    }
+  }
+}
+
 NodeEntry Node(const std::string& name,
                const std::string& domain,
                const std::string& region) {
