Take the load of a region from all of its load headers

Cause: the busy share of a region was summed from what is known of each backend server, which decays within 120 ms. In a fleet of 34 or 119 nodes a node uses each backend server every few seconds, so the sum was near zero: a full region never moved objects to others, and gave back those it had moved at the start. Ruled out: placement costs and links, which are the same for the other regions. Change: the mean of the requests of other nodes over the load headers of a whole region, used where it is larger and both regions have slots. Which load: a region with too few slots for its callers, in a large fleet.

--- a/src/steer/balance_evaluate.cc
+++ b/src/steer/balance_evaluate.cc
@@ -185,8 +185,16 @@
 void ServicePool::UpdateRegionShift(TimePoint now) {
   struct RegionLoad {
     uint32_t slots = 0;
-    double busy = 0;
-    double Utilization() const { return slots == 0 ? 1 : busy / slots; }
+    double own_requests = 0;
+    double peer_requests = 0;
+
+    // `sampled` is the part of the slots that other nodes use, from a sample.
+    double Utilization(double sampled) const {
+      if (slots == 0) {
+        return 1;
+      }
+      return own_requests / slots + std::max(peer_requests / slots, sampled);
+    }
   };
   RegionLoad own;
   RegionLoad others;
@@ -199,7 +207,8 @@
         loads_[member.load_index].distance != Distance::kOtherRegion;
     RegionLoad& region_load = in_own_region ? own : others;
     region_load.slots += backend.slots;
-    region_load.busy += backend.in_flight + backend.ExpectedPeerRequests(now);
+    region_load.own_requests += backend.in_flight;
+    region_load.peer_requests += backend.ExpectedPeerRequests(now);
   }
   if (own.slots < own_region_slots_) {
     region_shift_.SetFastShiftUntil(now + kFastShiftDuration);
@@ -213,7 +222,12 @@
     region_shift_.SetInitialShare(kInitialShiftFactor *
                                   std::max(0.0, 1 - capacity_ratio));
   }
-  region_shift_.Update(now, {own.Utilization(), others.Utilization()});
+  const bool has_choice = own.slots > 0 && others.slots > 0;
+  const auto sampled = [&](size_t region) {
+    return has_choice ? region_load_samples_[region].Get(now) : 0;
+  };
+  region_shift_.Update(
+      now, {own.Utilization(sampled(0)), others.Utilization(sampled(1))});
 }
 
 void ServicePool::Evaluate(TimePoint now, DispatcherStats* stats) {
--- a/src/steer/balance_pool.cc
+++ b/src/steer/balance_pool.cc
@@ -236,6 +236,16 @@
   }
 }
 
+void ServicePool::OnLoadHeader(TimePoint now, const Backend& backend) {
+  const DomainLoad* load = FindLoad(backend.domain);
+  if (load == nullptr || backend.slots == 0) {
+    return;
+  }
+  const bool remote = load->distance == Distance::kOtherRegion;
+  region_load_samples_[remote].Add(
+      now, backend.ExpectedPeerRequests(now) / backend.slots);
+}
+
 void ServicePool::OnBecameLong(Backend* backend) {
   ++backend->long_in_flight;
   --lane_in_flight_[static_cast<size_t>(Lane::kShort)];
--- a/src/steer/balance_pool.h
+++ b/src/steer/balance_pool.h
@@ -12,6 +12,7 @@
 #include "src/steer/admission_learn.h"
 #include "src/steer/balance_backend.h"
 #include "src/steer/placement.h"
+#include "src/steer/region_load.h"
 #include "src/steer/region_shift.h"
 #include "src/steer/warm_objects.h"
 
@@ -80,6 +81,8 @@
   // Record the start and the end of an attempt.
   void OnStart(Backend* backend, Lane lane);
   void OnEnd(Backend* backend, Lane lane);
+  // Records a load header of a backend server.
+  void OnLoadHeader(TimePoint now, const Backend& backend);
   // Moves a running attempt from the short lane to the long lane.
   void OnBecameLong(Backend* backend);
 
@@ -173,6 +176,8 @@
   std::vector<std::pair<DomainId, int32_t>> limits_;
   WarmObjects warm_objects_;
   RegionShift region_shift_;
+  // Of the own region [0] and of all other regions [1].
+  std::array<RegionLoadSample, 2> region_load_samples_;
   // Slots of backend servers in the own region that are neither suspended nor
   // suspect.
   uint32_t own_region_slots_ = 0;
--- a/src/steer/dispatch_attempt.cc
+++ b/src/steer/dispatch_attempt.cc
@@ -41,6 +41,9 @@
     backend.OnLoadHeader(
         now, *report.load,
         backend.in_flight - std::min(backend.in_flight, ended));
+    if (Service* service = FindService(backend.service)) {
+      service->pool.OnLoadHeader(now, backend);
+    }
   }
   if (report.remaining_cold_time) {
     backend.cold_until =
--- a/tests/placement_load_test.cc
+++ b/tests/placement_load_test.cc
@@ -249,5 +249,97 @@
   }
 }
 
+// A node of a large fleet: it uses each backend server seldom, and learns the
+// load from the headers of its answers. The own region is full, the other one
+// is not.
+class SparseLoad {
+ public:
+  SparseLoad() {
+    DispatcherInit init;
+    init.domain = DomainId(0);
+    init.default_remote_limit = Slots{-1};
+    init.rules.regions = {{"own"}, {"other"}};
+    init.rules.domains = {{"o1", RegionId(0), 1}, {"x1", RegionId(1), 1}};
+    init.tuning.placement.enabled = true;
+    init.tuning.hedge_ratio = 0;
+    init.tuning.hedge_burst = 0;
+    dispatcher_ = CreateDispatcher(init);
+    for (uint32_t id = 0; id < 2 * kBackendsPerRegion; ++id) {
+      dispatcher_->UpdateBackend(
+          now_, {.backend = BackendId(id),
+                 .service = ServiceId(0),
+                 .domain = DomainId(IsRemote(BackendId(id)) ? 1 : 0),
+                 .slots = Slots{3},
+                 .key = StableHash(std::to_string(id))});
+    }
+  }
+
+  // Returns the share of requests that run in the other region.
+  double RemoteShareDuring(seconds time) {
+    int remote = 0;
+    int requests = 0;
+    for (const TimePoint end = now_ + time; now_ < end;
+         now_ += milliseconds(2)) {
+      Serve(&remote);
+      ++requests;
+    }
+    return static_cast<double>(remote) / requests;
+  }
+
+ private:
+  // Each is used every second.
+  static constexpr uint32_t kBackendsPerRegion = 500;
+
+  static bool IsRemote(BackendId id) { return id.value >= kBackendsPerRegion; }
+
+  void Serve(int* remote) {
+    RequestTraits traits;
+    traits.service = ServiceId(0);
+    traits.idempotent = true;
+    traits.arrival = now_;
+    traits.deadline = now_ + seconds(3);
+    traits.goal = milliseconds(300);
+    traits.object = StableHash(std::to_string(next_object_++)) | 1;
+    dispatcher_->Submit(now_, traits);
+    Action action;
+    while (dispatcher_->NextAction(now_, &action)) {
+      if (action.type != ActionType::kStartAttempt) {
+        continue;
+      }
+      const bool is_remote = IsRemote(action.backend);
+      *remote += is_remote ? 1 : 0;
+      AttemptReport report;
+      report.event = AttemptEvent::kAnswered;
+      report.load = LoadHeader{.running = is_remote ? 1 : 3,
+                               .waiting = is_remote ? 0 : 1,
+                               .slots = 3,
+                               .work_factor = 1};
+      dispatcher_->OnAttempt(now_, action.attempt, report);
+    }
+  }
+
+  TimePoint now_{seconds(100)};
+  std::unique_ptr<Dispatcher> dispatcher_;
+  int next_object_ = 0;
+};
+
+TEST_CASE("a full region of a large fleet") {
+  SparseLoad load;
+  const double at_first = load.RemoteShareDuring(seconds(2));
+  CHECK(at_first < 0.2);
+  SUBCASE("sends more of its objects to a region with room") {
+    load.RemoteShareDuring(seconds(16));
+    CHECK(load.RemoteShareDuring(seconds(2)) > 0.5);
+  }
+  SUBCASE("moves few requests at a time") {
+    double before = at_first;
+    for (int step = 0; step < 8; ++step) {
+      const double after = load.RemoteShareDuring(seconds(2));
+      CHECK(after - before < 0.15);
+      before = after;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace comfreystand::steer
