--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -91,8 +91,7 @@
   }
   static void OnEvent(bufferevent*, short events, void* endpoint) {
     auto* self = static_cast<Endpoint*>(endpoint);
-    if ((events & BEV_EVENT_ERROR) != 0 &&
-        self->connection->IsStalled(*self)) {
+    if ((events & BEV_EVENT_ERROR) != 0 && self->connection->IsStalled(*self)) {
       // As on a broken path, a reset drops the bytes that are held up.
       self->connection->Reset();
       return;
@@ -148,7 +147,8 @@
       endpoint->chunks.pop_front();
     }
     if (!endpoint->chunks.empty()) {
-      // Loop timers count from cached time and can fire before the chunk is due.
+      // Loop timers count from cached time and can fire before the chunk is
+      // due.
       DeliverAfter(endpoint->chunks.front().due - now, endpoint);
       return;
     }
--- a/src/edge/caller_connection.cc
+++ b/src/edge/caller_connection.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "comfreystand/limits.h"
+#include "src/loop/reset_on_close.h"
 
 namespace comfreystand::edge {
 namespace {
@@ -17,13 +18,6 @@
 constexpr size_t kMaxPipelinedRequests = 32;
 constexpr std::chrono::seconds kLingerTimeout{1};
 
-// Makes close() send a reset, so that the caller sees an error even where the
-// end of the connection marks the end of the answer.
-void ResetOnClose(int fd) {
-  const linger reset = {.l_onoff = 1, .l_linger = 0};
-  setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-}
-
 }  // namespace
 
 CallerConnection::CallerConnection(event_base* base,
@@ -286,7 +280,9 @@
     abort_pending_ = true;
     return;
   }
-  ResetOnClose(bufferevent_getfd(bev_));
+  // The caller sees an error even where the end of the connection marks the end
+  // of the answer.
+  EnableResetOnClose(bufferevent_getfd(bev_));
   Close();
 }
 
--- a/src/gateway/node_registry.cc
+++ b/src/gateway/node_registry.cc
@@ -87,8 +87,8 @@
       reader = &node;
     }
   }
-  const bool reads_itself = nodes < kMinNodesToShareReads || withdrawn_ ||
-                            reader->name == self_.name;
+  const bool reads_itself =
+      nodes < kMinNodesToShareReads || withdrawn_ || reader->name == self_.name;
   return reads_itself ? "" : reader->peer_address;
 }
 
--- a/src/gateway/node_registry.h
+++ b/src/gateway/node_registry.h
@@ -35,8 +35,8 @@
                                         std::string_view domain) const;
 
   // Address of the node that reads the store for this node's failure domain.
-  // All nodes of the domain choose the same one. Empty when this node is to read
-  // the store itself: it is the chosen one, or the domain is small.
+  // All nodes of the domain choose the same one. Empty when this node is to
+  // read the store itself: it is the chosen one, or the domain is small.
   std::string DomainReaderAddress() const;
 
   // Nodes that share the fleet-wide limits. Nodes with a missing registration
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -26,9 +26,9 @@
 constexpr std::array<evhttp_cmd_type, 4> kCommands = {
     EVHTTP_REQ_GET, EVHTTP_REQ_PUT, EVHTTP_REQ_POST, EVHTTP_REQ_DELETE};
 
-// Time for a new connection to be established. Shorter than the time after which
-// a lost opening packet is sent again, so that the next attempt starts earlier
-// than that.
+// Time for a new connection to be established. Shorter than the time after
+// which a lost opening packet is sent again, so that the next attempt starts
+// earlier than that.
 constexpr Duration kConnectTimeout{500'000};
 
 // Enables TCP keepalive and limits the time that sent bytes may stay
--- a/standins/store.cc
+++ b/standins/store.cc
@@ -149,8 +149,8 @@
   }
   Send(exchange, kOk,
        "{\"items\":[" + items + "],\"hasMore\":" + (more ? "true" : "false") +
-           ",\"asOf\":" +
-           std::to_string(stale ? stale_revision_ : revision_) + "}");
+           ",\"asOf\":" + std::to_string(stale ? stale_revision_ : revision_) +
+           "}");
 }
 
 void Store::HandleWatch(const ExchangePtr& exchange) {
--- a/tests/gateway_cut_test.cc
+++ b/tests/gateway_cut_test.cc
@@ -70,16 +70,15 @@
     other_reader.emplace(&*other_client);
     other_copy.Start();
     REQUIRE(RunUntil([&] { return other_copy.listed(); }));
-    copy.emplace(
-        PrefixWatcher::Init{.prefix = "p/", .peers = {&*other_reader}}, &loop,
-        &reader,
-        PrefixWatcher::Listener{
-            .on_written = [](const StoreItem&) {},
-            .on_removed = [](const std::string&) {},
-            .on_listed = [] {},
-            .on_lost = [this] { ++lost_count; },
-            .on_regained = [this] { ++regained_count; },
-            .on_others_served = [this] { ++others_served_count; }});
+    copy.emplace(PrefixWatcher::Init{.prefix = "p/", .peers = {&*other_reader}},
+                 &loop, &reader,
+                 PrefixWatcher::Listener{
+                     .on_written = [](const StoreItem&) {},
+                     .on_removed = [](const std::string&) {},
+                     .on_listed = [] {},
+                     .on_lost = [this] { ++lost_count; },
+                     .on_regained = [this] { ++regained_count; },
+                     .on_others_served = [this] { ++others_served_count; }});
     copy->Start();
     REQUIRE(RunUntil([&] { return copy->listed(); }));
   }
@@ -95,15 +94,14 @@
   soak::FaultProxy path{&loop, store.address()};
   StoreClient direct_client{loop.base(), &clock, store.address()};
   ClientReader direct_reader{&direct_client};
-  PrefixWatcher other_copy{
-      {.prefix = "p/"},
-      &loop,
-      &direct_reader,
-      {.on_written = [](const StoreItem&) {},
-       .on_removed = [](const std::string&) {},
-       .on_listed = [] {},
-       .on_lost = [] {},
-       .on_regained = [] {}}};
+  PrefixWatcher other_copy{{.prefix = "p/"},
+                           &loop,
+                           &direct_reader,
+                           {.on_written = [](const StoreItem&) {},
+                            .on_removed = [](const std::string&) {},
+                            .on_listed = [] {},
+                            .on_lost = [] {},
+                            .on_regained = [] {}}};
   PeerFeed feed{&loop,
                 {.watchers = {&other_copy}, .is_recent = [] { return true; }}};
   std::optional<StoreClient> other_client;
@@ -130,9 +128,8 @@
   }
   SUBCASE("does not take an outage of the store for its own") {
     fixture.store.SetFaults({.outage = standins::Outage::kUnavailable});
-    REQUIRE(fixture.RunUntil([&] {
-      return fixture.lost_count == 1 && fixture.other_copy.lost();
-    }));
+    REQUIRE(fixture.RunUntil(
+        [&] { return fixture.lost_count == 1 && fixture.other_copy.lost(); }));
     fixture.store.SetFaults({});
     REQUIRE(fixture.RunUntil([&] { return fixture.regained_count == 1; }));
     CHECK_FALSE(
--- a/tests/platform_domain_reader_test.cc
+++ b/tests/platform_domain_reader_test.cc
@@ -46,9 +46,9 @@
       : client(loop->base(), clock, store),
         reader(&client),
         copy(loop, &reader),
-        feed(loop,
-             {.watchers = {&copy.watcher},
-              .is_recent = [this] { return is_recent; }}) {
+        feed(loop, {.watchers = {&copy.watcher}, .is_recent = [this] {
+                      return is_recent;
+                    }}) {
     std::string error;
     address = standins::FreeAddress();
     REQUIRE(feed.Start(loop->base(), address, &error));
--- a/tests/support/edge_fixture.cc
+++ b/tests/support/edge_fixture.cc
@@ -1,4 +1,5 @@
 #include "tests/support/edge_fixture.h"
+#include "src/loop/reset_on_close.h"
 
 #include <event2/buffer.h>
 #include <netinet/in.h>
@@ -59,9 +60,7 @@
 }
 
 void RawCaller::Reset() {
-  const linger reset = {.l_onoff = 1, .l_linger = 0};
-  setsockopt(bufferevent_getfd(bev_), SOL_SOCKET, SO_LINGER, &reset,
-             sizeof(reset));
+  EnableResetOnClose(bufferevent_getfd(bev_));
   Close();
 }
 
