--- a/src/edge/request_log.cc
+++ b/src/edge/request_log.cc
@@ -38,8 +38,8 @@
   return std::max<int64_t>(0, Millis(traits.deadline - traits.arrival));
 }
 
-// "BACKEND START+DURATION EVENT LOAD" in milliseconds; START counts from the
-// arrival of the request.
+// "BACKEND START+DURATION EVENT LOAD COLD" in milliseconds; START counts from
+// the arrival of the request.
 std::string FormatAttempt(const Relay::AttemptRecord& record,
                           TimePoint arrival,
                           TimePoint now) {
@@ -54,6 +54,9 @@
             std::to_string(record.load->slots) + " work=" +
             std::to_string(static_cast<int>(record.load->work_factor * 100));
   }
+  if (record.remaining_cold_time) {
+    text += " cold=" + std::to_string(Millis(*record.remaining_cold_time));
+  }
   return text;
 }
 
--- a/src/edge/server_actions.cc
+++ b/src/edge/server_actions.cc
@@ -86,7 +86,8 @@
                                         .backend = attempt->info().backend_name,
                                         .started = now,
                                         .ended = {},
-                                        .load = {}});
+                                        .load = {},
+                                        .remaining_cold_time = {}});
   }
   attempts_[action.attempt] = std::move(owned);
   ++stats_.attempts;
@@ -244,6 +245,7 @@
       record.event = report.event;
       record.ended = clock_->Now();
       record.load = report.load;
+      record.remaining_cold_time = report.remaining_cold_time;
     }
   }
 }
--- a/src/gateway/backend_registry.cc
+++ b/src/gateway/backend_registry.cc
@@ -100,8 +100,7 @@
   Record& record = found->second;
   record.missing = false;
   record.entry = entry;
-  record.cold_until =
-      std::max(record.cold_until, now + entry.remaining_cold_time);
+  SetColdUntil(&record, now + entry.remaining_cold_time, now, "registration");
   if (entry.remaining_cold_time.count() == 0) {
     // The backend server's own report overrides the estimate, except after the
     // end of an evacuation.
@@ -250,12 +249,25 @@
       // The backend servers may have turned cold shortly before, and their
       // latest reports that they are warm may be outdated.
       record.min_cold_until = now + service->cold_time;
-      record.cold_until = std::max(record.cold_until, record.min_cold_until);
+      SetColdUntil(&record, record.min_cold_until, now, "taken-back");
     }
     QueueUpdate(record);
   }
 }
 
+void BackendRegistry::SetColdUntil(Record* record,
+                                   TimePoint until,
+                                   TimePoint now,
+                                   const char* reason) {
+  if (record->cold_until <= now && until > now) {
+    LogStateChange("backend", "cold",
+                   {{"name", record->entry.name},
+                    {"cold_ms", std::to_string((until - now).count() / 1'000)},
+                    {"reason", reason}});
+  }
+  record->cold_until = std::max(record->cold_until, until);
+}
+
 void BackendRegistry::SetServices(const std::vector<TrafficService>& services) {
   services_by_name_.clear();
   for (const TrafficService& service : services) {
--- a/src/gateway/backend_registry.h
+++ b/src/gateway/backend_registry.h
@@ -89,6 +89,11 @@
   void MarkGone(Record* record);
   // Whether a missing registration means that the backend server is gone.
   bool IsRemovalCertain(const Record& record, TimePoint now) const;
+  // Extends the cold phase to `until`; `reason` goes to the log.
+  static void SetColdUntil(Record* record,
+                           TimePoint until,
+                           TimePoint now,
+                           const char* reason);
   void QueueUpdate(const Record& record);
   const TrafficService* ServiceOf(const Record& record) const;
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -295,7 +295,13 @@
   }
 
   void OnNodesChanged() {
-    dispatcher_->SetPeerNodes(nodes_.Peers());
+    const steer::PeerNodes peers = nodes_.Peers();
+    if (peers.live.size() != counted_nodes_) {
+      counted_nodes_ = peers.live.size();
+      LogStateChange("membership", "nodes-counted",
+                     {{"count", std::to_string(counted_nodes_)}});
+    }
+    dispatcher_->SetPeerNodes(peers);
     addresses_changed_ = true;
     PublishSoon();
   }
@@ -396,6 +402,8 @@
   // Time of the next scheduled ConfirmRemovals().
   TimePoint removal_check_at_ = TimePoint::max();
   bool addresses_changed_ = false;
+  // Nodes among which the limits of the whole fleet are divided.
+  size_t counted_nodes_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
