--- a/include/comfreystand/gateway.h
+++ b/include/comfreystand/gateway.h
@@ -95,6 +95,7 @@
   size_t backends_ready = 0;
   size_t backends_draining = 0;
   size_t nodes = 0;
+  size_t domains_evacuated = 0;
   bool ready = false;
   bool store_lost = false;
 };
@@ -144,6 +145,8 @@
   // Address of the node through which this one reads the store; empty when it
   // reads the store itself.
   std::string DomainReaderAddress() const;
+  // Addresses at which other nodes serve their copies of the store's entries.
+  std::vector<std::string> PeerAddresses() const;
 
   // Stops gracefully and calls `done`. The node must have been removed from the
   // store before.
--- a/src/gateway/backend_registry.h
+++ b/src/gateway/backend_registry.h
@@ -54,6 +54,7 @@
 
   size_t CountReady() const;
   size_t CountDraining() const;
+  size_t CountEvacuatedDomains() const { return evacuated_domains_.size(); }
 
  private:
   struct Record {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -168,6 +168,10 @@
     return nodes_.DomainReaderAddress();
   }
 
+  std::vector<std::string> PeerAddresses() const {
+    return nodes_.PeerAddresses();
+  }
+
   void BeginStop(std::function<void()> done) {
     stopping_ = true;
     on_stopped_ = std::move(done);
@@ -182,6 +186,7 @@
             .backends_ready = backends_.CountReady(),
             .backends_draining = backends_.CountDraining(),
             .nodes = nodes_.size(),
+            .domains_evacuated = backends_.CountEvacuatedDomains(),
             .ready = Ready(),
             .store_lost = store_lost_};
   }
@@ -237,6 +242,8 @@
           [this] { return GetStats().backends_ready; });
     gauge("comfreystand_backends_draining", "Backend servers that drain.",
           [this] { return GetStats().backends_draining; });
+    gauge("comfreystand_domains_evacuated", "Failure domains evacuated.",
+          [this] { return GetStats().domains_evacuated; });
     gauge("comfreystand_nodes", "Nodes registered.",
           [this] { return GetStats().nodes; });
     gauge("comfreystand_ready", "Whether callers are sent here.",
@@ -463,6 +470,9 @@
 std::string Gateway::DomainReaderAddress() const {
   return impl_->DomainReaderAddress();
 }
+std::vector<std::string> Gateway::PeerAddresses() const {
+  return impl_->PeerAddresses();
+}
 void Gateway::BeginStop(std::function<void()> done) {
   impl_->BeginStop(std::move(done));
 }
--- a/src/gateway/node_registry.cc
+++ b/src/gateway/node_registry.cc
@@ -92,6 +92,16 @@
   return reads_itself ? "" : reader->peer_address;
 }
 
+std::vector<std::string> NodeRegistry::PeerAddresses() const {
+  std::vector<std::string> addresses;
+  for (const auto& [name, record] : nodes_) {
+    if (name != self_.name && !record.entry.peer_address.empty()) {
+      addresses.push_back(record.entry.peer_address);
+    }
+  }
+  return addresses;
+}
+
 steer::PeerNodes NodeRegistry::Peers() const {
   steer::PeerNodes peers;
   peers.self = StableHash(self_.name);
--- a/src/gateway/node_registry.h
+++ b/src/gateway/node_registry.h
@@ -39,6 +39,9 @@
   // read the store itself: it is the chosen one, or the domain is small.
   std::string DomainReaderAddress() const;
 
+  // Addresses at which the other nodes serve their copies of the store's items.
+  std::vector<std::string> PeerAddresses() const;
+
   // Nodes that share the fleet-wide limits. Nodes with a missing registration
   // still count until the removal is confirmed, since they may be running.
   steer::PeerNodes Peers() const;
--- /dev/null
+++ b/tests/gateway_store_refusal_test.cc
@@ -0,0 +1,77 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "soak/fault_proxy.h"
+#include "tests/support/gateway_fixture.h"
+
+// A gateway that the store turns away while it serves another one.
+namespace comfreystand::platform {
+namespace {
+
+using testing::GatewayFixture;
+
+// The fixture's own gateway, which has the store, and two whose path to it can
+// break. None is a seed of another.
+struct RefusalFixture : GatewayFixture {
+  RefusalFixture() {
+    REQUIRE(WaitUntilReady());
+    for (const char* name : {"front-b-1", "front-b-2"}) {
+      gateway::GatewaySettings init = settings;
+      init.name = name;
+      init.domain = "east-a";
+      init.region = "east";
+      init.store_address.text = path.address();
+      refused.push_back(StartGateway(&init));
+      REQUIRE(refused.back());
+    }
+    REQUIRE(WaitUntil([&] {
+      return gateway->gateway().GetStats().nodes == 3 &&
+             AllRefused(&gateway::GatewayStats::nodes, 3);
+    }));
+  }
+
+  // Whether a gauge has the value on each gateway that the store turns away.
+  bool AllRefused(size_t gateway::GatewayStats::*gauge, size_t value) const {
+    return std::all_of(refused.begin(), refused.end(), [&](const auto& node) {
+      return node->gateway().GetStats().*gauge == value;
+    });
+  }
+
+  // Waits for `done` as long as a change of the store may take to be known.
+  bool KnowsInTime(const std::function<bool()>& done) {
+    constexpr std::chrono::milliseconds kFreshness{2'500};
+    return standins::RunUntil(&loop, kFreshness, done);
+  }
+
+  soak::FaultProxy path{&loop, store.address()};
+  std::vector<std::unique_ptr<PlatformGateway>> refused;
+};
+
+TEST_CASE("nodes that the store turns away learn from a node that is no seed") {
+  RefusalFixture fixture;
+  const auto all_know = [&](size_t evacuated) {
+    return fixture.KnowsInTime([&] {
+      return fixture.AllRefused(&gateway::GatewayStats::domains_evacuated,
+                                evacuated);
+    });
+  };
+  SUBCASE("of an evacuation, when its connections are reset") {
+    fixture.path.SetFaults({.reset_new_connections = true});
+    fixture.path.ResetConnections();
+  }
+  SUBCASE("of an evacuation, when its calls hang") {
+    fixture.path.SetFaults({.stalled_to_server = true});
+  }
+  fixture.store.Put("op/evacuate/west-a", "{}");
+  CHECK(all_know(1));
+  fixture.store.Remove("op/evacuate/west-a");
+  CHECK(all_know(0));
+}
+
+}  // namespace
+}  // namespace comfreystand::platform
