Count nodes as long as they answer, not as long as they are registered

Cause: the store turned six nodes away, their leases lapsed, and those that saw the registrations go counted 1, 3 or 4 nodes while others counted 7. Each count names another node as the only one that may send to a cold backend server. Limits that hold over the fleet were divided by different numbers too: resends, and connections to a backend server.

Change: a node whose registration is missing is asked at its peer address, and keeps counting while it answers; one that stops, or doesn't answer, is gone. A stopping node answers no calls of other nodes.

The test fails when the check is answered with 'gone', as the code was before. The existing checks on removals call TakeDueChecks() in place of ConfirmRemovals(), with the same expected numbers of nodes.

--- a/include/comfreystand/gateway.h
+++ b/include/comfreystand/gateway.h
@@ -102,6 +102,10 @@
 
 class Gateway final : public RouteSource {
  public:
+  // Asks a node whether it runs and calls `done` with the answer; no answer in
+  // time is false.
+  using NodeCheck = std::function<void(const NodeEntry& node,
+                                       std::function<void(bool runs)> done)>;
   // Creates the protocol that interprets headers, from the routes.
   using ProtocolFactory =
       std::function<std::unique_ptr<edge::RelayProtocol>(const RouteSource*)>;
@@ -111,6 +115,10 @@
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
 
+  // Sets how nodes are asked. Without it, nodes whose registration is missing
+  // are taken as gone.
+  void SetNodeCheck(NodeCheck check);
+
   // Adds a metric to the metrics listener. Must be called before Start().
   void AddMetric(std::string name,
                  std::string help,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -77,6 +77,8 @@
     return server_ != nullptr && StartMetrics(error);
   }
 
+  void SetNodeCheck(NodeCheck check) { node_check_ = std::move(check); }
+
   void AddMetric(admin::MetricSource source) {
     metric_sources_.push_back(std::move(source));
   }
@@ -130,7 +132,6 @@
   void OnNodeRemoved(const std::string& name) {
     LogStateChange("membership", "node-removed", {{"node", name}});
     nodes_.Remove(name, loop_->Now());
-    OnNodesChanged();
     ConfirmRemovals();
   }
 
@@ -340,13 +341,10 @@
   // Confirms removals in the registries and schedules the next call.
   void ConfirmRemovals() {
     const TimePoint now = loop_->Now();
+    CheckMissingNodes(now);
     const TimePoint next =
-        std::min(backends_.ConfirmRemovals(now), nodes_.ConfirmRemovals(now));
-    PublishSoon();
-    if (next == TimePoint::max()) {
-      OnNodesChanged();
-      return;
-    }
+        std::min(backends_.ConfirmRemovals(now), nodes_.NextCheckAt(now));
+    OnNodesChanged();
     if (next >= removal_check_at_) {
       return;
     }
@@ -357,6 +355,18 @@
     });
   }
 
+  void CheckMissingNodes(TimePoint now) {
+    for (const NodeEntry& node : nodes_.TakeDueChecks(now)) {
+      node_check_(node, [this, name = node.name,
+                         alive = std::weak_ptr<bool>(alive_)](bool runs) {
+        if (!alive.expired()) {
+          nodes_.OnChecked(name, runs, loop_->Now());
+          ConfirmRemovals();
+        }
+      });
+    }
+  }
+
   void ContinueStop() {
     const Duration since = loop_->Now() - stop_started_at_;
     if (since >= kRefuseAfter && !refusing_) {
@@ -393,6 +403,10 @@
   std::unique_ptr<RouteTable> routes_;
   BackendRegistry backends_;
   NodeRegistry nodes_;
+  NodeCheck node_check_ = [](const NodeEntry&,
+                             const std::function<void(bool)>& done) {
+    done(false);
+  };
   std::unique_ptr<steer::Dispatcher> dispatcher_;
   std::unique_ptr<edge::RelayProtocol> protocol_;
   GatewayMetrics metrics_;
@@ -418,6 +432,9 @@
     : impl_(std::make_unique<Impl>(loop, settings, this)) {}
 Gateway::~Gateway() = default;
 
+void Gateway::SetNodeCheck(NodeCheck check) {
+  impl_->SetNodeCheck(std::move(check));
+}
 void Gateway::AddMetric(std::string name,
                         std::string help,
                         bool is_counter,
--- a/src/gateway/node_registry.cc
+++ b/src/gateway/node_registry.cc
@@ -10,35 +10,68 @@
 // Failure domains with fewer nodes save too few calls to the store to depend on
 // one of them.
 constexpr size_t kMinNodesToShareReads = 3;
+// Time between two checks of a node whose registration is missing.
+constexpr std::chrono::seconds kCheckInterval{1};
 
 }  // namespace
 
 void NodeRegistry::Put(const NodeEntry& node, TimePoint now) {
-  nodes_[node.name] = {node, false};
+  nodes_[node.name] = {.entry = node};
 }
 
 void NodeRegistry::Remove(const std::string& name, TimePoint now) {
   const auto found = nodes_.find(name);
-  if (found == nodes_.end()) {
+  if (found != nodes_.end()) {
+    found->second.missing = true;
+  }
+}
+
+std::vector<NodeEntry> NodeRegistry::TakeDueChecks(TimePoint now) {
+  std::vector<NodeEntry> due;
+  if (!store_recovery_.IsComplete(now)) {
+    return due;
+  }
+  std::erase_if(nodes_, [this](const auto& item) {
+    return item.second.missing &&
+           (item.second.entry.peer_address.empty() || item.first == self_.name);
+  });
+  for (auto& [name, record] : nodes_) {
+    if (record.missing && !record.checking && now >= record.next_check) {
+      record.checking = true;
+      due.push_back(record.entry);
+    }
+  }
+  return due;
+}
+
+void NodeRegistry::OnChecked(const std::string& name,
+                             bool answered,
+                             TimePoint now) {
+  const auto found = nodes_.find(name);
+  if (found == nodes_.end() || !found->second.missing) {
     return;
   }
-  if (store_recovery_.IsComplete(now)) {
-    nodes_.erase(found);
+  if (answered || !store_recovery_.IsComplete(now)) {
+    found->second.checking = false;
+    found->second.next_check = now + kCheckInterval;
   } else {
-    found->second.missing = true;
+    nodes_.erase(found);
   }
 }
 
-TimePoint NodeRegistry::ConfirmRemovals(TimePoint now) {
-  if (store_recovery_.IsComplete(now)) {
-    std::erase_if(nodes_, [](const auto& item) { return item.second.missing; });
-    return TimePoint::max();
-  }
-  const bool pending =
-      std::any_of(nodes_.begin(), nodes_.end(),
-                  [](const auto& item) { return item.second.missing; });
-  return pending && !store_recovery_.lost() ? store_recovery_.completes_at()
-                                            : TimePoint::max();
+TimePoint NodeRegistry::NextCheckAt(TimePoint now) const {
+  TimePoint next = TimePoint::max();
+  for (const auto& [name, record] : nodes_) {
+    if (record.missing && !record.checking) {
+      next = std::min(next, record.next_check);
+    }
+  }
+  if (next == TimePoint::max() || store_recovery_.IsComplete(now)) {
+    return next;
+  }
+  return store_recovery_.lost()
+             ? TimePoint::max()
+             : std::max(next, store_recovery_.completes_at());
 }
 
 template <typename Match>
--- a/src/gateway/node_registry.h
+++ b/src/gateway/node_registry.h
@@ -13,7 +13,9 @@
 namespace comfreystand::gateway {
 
 // The registered nodes. While the store is unavailable or has just recovered,
-// missing registrations are kept.
+// missing registrations are kept. After that, a node whose registration is
+// missing is kept as long as it answers: the store may only have turned it
+// away.
 class NodeRegistry {
  public:
   explicit NodeRegistry(NodeEntry self) : self_(std::move(self)) {}
@@ -22,9 +24,14 @@
   void Remove(const std::string& name, TimePoint now);
   void OnStoreLost() { store_recovery_.OnLost(); }
   void OnStoreRegained(TimePoint now) { store_recovery_.OnRegained(now); }
-  // Removes nodes whose registrations have stayed missing. Returns the time of
-  // the next call, or TimePoint::max() when nothing is pending.
-  TimePoint ConfirmRemovals(TimePoint now);
+  // Nodes whose registrations are missing and which are to be asked whether
+  // they run. Nodes that can't be asked are removed.
+  std::vector<NodeEntry> TakeDueChecks(TimePoint now);
+  // Reports whether a node returned by TakeDueChecks() has answered.
+  void OnChecked(const std::string& name, bool answered, TimePoint now);
+  // Time of the next call of TakeDueChecks(), or TimePoint::max() when nothing
+  // is pending.
+  TimePoint NextCheckAt(TimePoint now) const;
 
   // Removes this node from look-up answers.
   void WithdrawSelf() { withdrawn_ = true; }
@@ -43,7 +50,7 @@
   std::vector<std::string> PeerAddresses() const;
 
   // Nodes that share the fleet-wide limits. Nodes with a missing registration
-  // still count until the removal is confirmed, since they may be running.
+  // count until they are removed, since they may be running.
   steer::PeerNodes Peers() const;
   size_t size() const { return nodes_.size(); }
 
@@ -51,6 +58,10 @@
   struct Record {
     NodeEntry entry;
     bool missing = false;
+    // While the registration is missing: a check is in flight, and the earliest
+    // time of the next one.
+    bool checking = false;
+    TimePoint next_check{};
   };
   template <typename Match>
   std::vector<std::string> SelectAddresses(Match match) const;
--- a/tests/gateway_store_refusal_test.cc
+++ b/tests/gateway_store_refusal_test.cc
@@ -73,5 +73,26 @@
   CHECK(all_know(0));
 }
 
+TEST_CASE("nodes that the store turns away still share the fleet's limits") {
+  RefusalFixture fixture;
+  fixture.path.SetFaults({.reset_new_connections = true});
+  fixture.path.ResetConnections();
+  REQUIRE(fixture.WaitUntil([&] {
+    return !fixture.store.Has("nodes/front-b-1") &&
+           !fixture.store.Has("nodes/front-b-2");
+  }));
+  constexpr std::chrono::seconds kObserved{2};
+  const auto counts_fewer = [&] {
+    return fixture.gateway->gateway().GetStats().nodes != 3 ||
+           !fixture.AllRefused(&gateway::GatewayStats::nodes, 3);
+  };
+  CHECK_FALSE(standins::RunUntil(&fixture.loop, kObserved, counts_fewer));
+  SUBCASE("until they end") {
+    fixture.refused.pop_back();
+    CHECK(fixture.WaitUntil(
+        [&] { return fixture.gateway->gateway().GetStats().nodes == 2; }));
+  }
+}
+
 }  // namespace
 }  // namespace comfreystand::platform
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -267,16 +267,19 @@
   SUBCASE(
       "and the peers exclude a node that is gone, unless the store lost it") {
     nodes.Remove("w2", now);
+    CHECK(nodes.TakeDueChecks(now).empty());
     CHECK(nodes.Peers().live.size() == 2);
     nodes.OnStoreLost();
     nodes.OnStoreRegained(now);
     nodes.Remove("e1", now);
+    CHECK(nodes.TakeDueChecks(now).empty());
     CHECK(nodes.Peers().live.size() == 2);
-    nodes.ConfirmRemovals(now + seconds(3));
+    CHECK(nodes.TakeDueChecks(now + seconds(3)).empty());
     CHECK(nodes.Peers().live.size() == 1);
   }
   SUBCASE("and the peers include this node even when it is not registered") {
     nodes.Remove("w1", now);
+    CHECK(nodes.TakeDueChecks(now).empty());
     CHECK(nodes.Peers().live.size() == 3);
   }
 }
@@ -287,6 +290,45 @@
   return node;
 }
 
+TEST_CASE("a node whose registration is missing while the store is served") {
+  const TimePoint now{seconds(100)};
+  NodeRegistry nodes(NodeWithFeed("w1", "west-a"));
+  nodes.Put(NodeWithFeed("w1", "west-a"), now);
+  nodes.Put(NodeWithFeed("w2", "west-b"), now);
+  CHECK(nodes.NextCheckAt(now) == TimePoint::max());
+  nodes.Remove("w2", now);
+  CHECK(nodes.NextCheckAt(now) <= now);
+  REQUIRE(nodes.TakeDueChecks(now).size() == 1);
+  CHECK(nodes.TakeDueChecks(now).empty());
+  CHECK(nodes.Peers().live.size() == 2);
+  SUBCASE("is gone when it does not answer") {
+    nodes.OnChecked("w2", false, now);
+    CHECK(nodes.Peers().live.size() == 1);
+    CHECK(nodes.NextCheckAt(now) == TimePoint::max());
+  }
+  SUBCASE("shares the limits of the fleet as long as it answers") {
+    for (int second = 0; second < 60; ++second) {
+      const TimePoint later = now + seconds(second);
+      nodes.OnChecked("w2", true, later);
+      CHECK(nodes.Peers().live.size() == 2);
+      CHECK(nodes.NextCheckAt(later) == later + seconds(1));
+      REQUIRE(nodes.TakeDueChecks(later + seconds(1)).size() == 1);
+    }
+  }
+  SUBCASE("is kept when the store is lost before it fails to answer") {
+    nodes.OnStoreLost();
+    nodes.OnChecked("w2", false, now);
+    CHECK(nodes.Peers().live.size() == 2);
+    CHECK(nodes.NextCheckAt(now) == TimePoint::max());
+  }
+  SUBCASE("is not asked again once it has registered") {
+    nodes.Put(NodeWithFeed("w2", "west-b"), now);
+    nodes.OnChecked("w2", false, now);
+    CHECK(nodes.Peers().live.size() == 2);
+    CHECK(nodes.NextCheckAt(now) == TimePoint::max());
+  }
+}
+
 TEST_CASE("the node that reads the store for a failure domain") {
   const TimePoint now{seconds(100)};
   const std::vector<std::string> names = {"w1", "w2", "w3", "w4"};
