Ask backend servers for their state while nothing reads the store

Cause: no node can learn of the evacuation or of the registrations then, and all go on as if nothing had changed. What a node last knew was taken for current without a limit of time.

Ruled out: two owners of a cold backend server (all count 7 nodes throughout).

Change: while neither the store nor a node that it answers can be read, a backend server is asked by its health path before it gets a request, at most every 0.3 s a node. Its answer tells how long it stays cold; one that does not answer, is not healthy, or is another one is passed over.

--- a/bench/experiment_baseline.cc
+++ b/bench/experiment_baseline.cc
@@ -66,7 +66,7 @@
   }
 
   void OnLoadReport(TimePoint, const LoadReport&) override {}
-  void OnProbe(TimePoint, BackendId, bool) override {}
+  void OnProbe(TimePoint, BackendId, const ProbeReport&) override {}
 
   bool NextAction(TimePoint, Action* action) override {
     if (actions_.empty()) {
--- a/bench/experiment_run.cc
+++ b/bench/experiment_run.cc
@@ -267,7 +267,8 @@
       ScheduleAfter(2 * Delay(node, action.backend.value) +
                         scenario_.deployment.probe_cost,
                     [this, node, backend = action.backend] {
-                      nodes_[node].dispatcher->OnProbe(now_, backend, true);
+                      nodes_[node].dispatcher->OnProbe(now_, backend,
+                                                       {.healthy = true});
                       ProcessActions(node);
                     });
       return;
--- a/include/comfreystand/edge.h
+++ b/include/comfreystand/edge.h
@@ -50,6 +50,8 @@
   std::string name;
   // Maximum number of connections from this entry VM.
   int max_connections = limits::kMaxConnectionsPerBackend;
+  // Path of its health check.
+  std::string health_path = "/probe";
 };
 
 // The addresses of the entry VMs of one site, ordered by rank.
--- a/include/comfreystand/gateway.h
+++ b/include/comfreystand/gateway.h
@@ -98,6 +98,8 @@
   size_t domains_evacuated = 0;
   bool ready = false;
   bool store_lost = false;
+  // The store's entries are read, directly or from another node.
+  bool store_readable = true;
 };
 
 class Gateway final : public RouteSource {
@@ -141,6 +143,10 @@
   // The store stopped answering, or answers again.
   void OnStoreLost();
   void OnStoreRegained();
+  // Whether the store's entries are read, directly or from a node that the
+  // store answers. While they aren't, backend servers are asked for their state
+  // before they get requests.
+  void OnStoreReadable(bool readable);
   // Other nodes had the store all the time since it was lost to this one.
   void OnStoreServedOthers();
 
--- a/include/comfreystand/relay_protocol.h
+++ b/include/comfreystand/relay_protocol.h
@@ -198,6 +198,12 @@
   virtual AnswerInfo ReadAnswer(const AnswerHead& head,
                                 const AttemptInfo& attempt) const = 0;
 
+  // Interprets the head of an answer to a health check of the backend server
+  // that is named `backend_name`.
+  virtual steer::ProbeReport ReadHealth(
+      const AnswerHead& head,
+      const std::string& backend_name) const = 0;
+
   // Whether an attempt is cancelled by a separate request to the backend
   // server; if not, it is cancelled by closing the connection.
   virtual bool CancelsByRequest() const = 0;
--- a/include/comfreystand/steer/dispatch.h
+++ b/include/comfreystand/steer/dispatch.h
@@ -123,6 +123,16 @@
   bool from_other_backend = false;
 };
 
+// Answer to a probe of a backend server.
+struct ProbeReport {
+  // It answered and is healthy.
+  bool healthy = false;
+  // Remaining time of its cold phase, when reported.
+  std::optional<Duration> remaining_cold_time;
+  // The answer came from another backend server, which now uses the address.
+  bool from_other_backend = false;
+};
+
 // Load report of a backend server. `age` is the time since it was measured.
 struct LoadReport {
   BackendId backend{};
@@ -156,6 +166,8 @@
   TimePoint cold_until{};
   // Requests per second that it accepts while cold, from all nodes together.
   double cold_rate = 0;
+  // Whether a probe tells its state.
+  bool has_health_check = false;
 };
 
 // The live nodes, known to this node, that share the backend servers.
@@ -295,6 +307,10 @@
   // nodes together are divided by their number.
   virtual void SetPeerNodes(const PeerNodes& peers) {}
 
+  // Sets whether the states of the backend servers may have changed unnoticed.
+  // While they may, those that get requests are probed every now and then.
+  virtual void SetBackendsUncertain(TimePoint now, bool uncertain) {}
+
   // Sets how many slots of a service this node may use at once in a failure
   // domain.
   virtual void SetSlotLimit(ServiceId service,
@@ -317,7 +333,9 @@
                          const AttemptReport& report) = 0;
 
   virtual void OnLoadReport(TimePoint now, const LoadReport& report) = 0;
-  virtual void OnProbe(TimePoint now, BackendId backend, bool answered) = 0;
+  virtual void OnProbe(TimePoint now,
+                       BackendId backend,
+                       const ProbeReport& report) = 0;
 
   // Removes the next due action and stores it in `action`. Returns false when
   // none is due.
--- a/include/comfreystand/traffic.h
+++ b/include/comfreystand/traffic.h
@@ -59,6 +59,8 @@
   // per second that it accepts in this phase.
   Duration cold_time{0};
   double cold_rate = 0;
+  // Path of the health check; empty when there is none.
+  std::string health_path;
 };
 
 // Limits on callers' requests and connections.
--- a/src/edge/backend_pool.cc
+++ b/src/edge/backend_pool.cc
@@ -44,6 +44,7 @@
     }
     backend.address = entry.address;
     backend.name = entry.name;
+    backend.health_path = entry.health_path;
     backend.max_connections = entry.max_connections;
     next.emplace(entry.id, std::move(backend));
     backend_ids_.push_back(entry.id);
@@ -62,6 +63,11 @@
   return found == backends_.end() ? std::string() : found->second.name;
 }
 
+std::string BackendPool::HealthPathOf(BackendId backend) const {
+  const auto found = backends_.find(backend);
+  return found == backends_.end() ? std::string() : found->second.health_path;
+}
+
 bool BackendPool::HasConnections(BackendId backend) const {
   const auto found = backends_.find(backend);
   return found != backends_.end() && found->second.open > 0;
--- a/src/edge/backend_pool.h
+++ b/src/edge/backend_pool.h
@@ -29,6 +29,9 @@
   // Name that the backend server uses for itself; empty when unknown.
   std::string NameOf(BackendId backend) const;
 
+  // Path of its health check; empty when the backend server is unknown.
+  std::string HealthPathOf(BackendId backend) const;
+
   // Whether a connection to the backend server is open or connecting.
   bool HasConnections(BackendId backend) const;
 
@@ -52,6 +55,7 @@
   struct Backend {
     std::string address;
     std::string name;
+    std::string health_path;
     sockaddr_in socket_address{};
     int max_connections = 0;
     int open = 0;
--- a/src/edge/native_protocol.cc
+++ b/src/edge/native_protocol.cc
@@ -272,4 +272,11 @@
   return info;
 }
 
+steer::ProbeReport NativeProtocol::ReadHealth(
+    const AnswerHead& head,
+    const std::string& backend_name) const {
+  constexpr int kOk = 200;
+  return {.healthy = head.status == kOk};
+}
+
 }  // namespace comfreystand::edge
--- a/src/edge/native_protocol.h
+++ b/src/edge/native_protocol.h
@@ -38,6 +38,8 @@
                             std::string* head) const override;
   AnswerInfo ReadAnswer(const AnswerHead& head,
                         const AttemptInfo& attempt) const override;
+  steer::ProbeReport ReadHealth(const AnswerHead& head,
+                                const std::string& backend_name) const override;
   bool CancelsByRequest() const override { return true; }
   size_t MaxBufferedAnswerBytes() const override { return 0; }
 
--- a/src/edge/server_actions.cc
+++ b/src/edge/server_actions.cc
@@ -136,13 +136,17 @@
       limits::kProbeTimeout,
       [this, backend](ControlRequest* self,
                       const ControlRequest::Outcome& outcome) {
-        dispatcher_->OnProbe(
-            clock_->Now(), backend,
-            outcome.answered && outcome.head.status == kStatusOk);
+        steer::ProbeReport report;
+        if (outcome.answered) {
+          report = protocol_->ReadHealth(outcome.head,
+                                         backend_pool_.NameOf(backend));
+        }
+        dispatcher_->OnProbe(clock_->Now(), backend, report);
         RemoveControlRequest(self);
         ScheduleActions();
       });
-  request->Start(backend_pool_.Acquire(backend), "GET", "/probe");
+  request->Start(backend_pool_.Acquire(backend), "GET",
+                 backend_pool_.HealthPathOf(backend));
 }
 
 void Server::Impl::RequestLoadReports() {
--- a/src/gateway/backend_registry.cc
+++ b/src/gateway/backend_registry.cc
@@ -297,6 +297,7 @@
   update.cold_until = record.cold_until;
   if (const TrafficService* service = ServiceOf(record)) {
     update.cold_rate = service->cold_rate;
+    update.has_health_check = !service->health_path.empty();
   }
   updates_.push_back(update);
 }
@@ -317,6 +318,9 @@
     address.address = record.entry.address;
     address.name = record.entry.name;
     const TrafficService* service = ServiceOf(record);
+    if (service) {
+      address.health_path = service->health_path;
+    }
     if (service && service->max_connections > 0) {
       const double part = kUsableConnectionShare * service->max_connections /
                           static_cast<double>(std::max<size_t>(1, nodes));
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -150,6 +150,17 @@
     ConfirmRemovals();
   }
 
+  void OnStoreReadable(bool readable) {
+    if (readable == store_readable_) {
+      return;
+    }
+    store_readable_ = readable;
+    LogStateChange("store", readable ? "readable" : "unreadable", {},
+                   readable ? LogLevel::kInfo : LogLevel::kWarn);
+    dispatcher_->SetBackendsUncertain(loop_->Now(), !readable);
+    server_->ScheduleActions();
+  }
+
   void OnStoreServedOthers() {
     LogStateChange("store", "others-served");
     backends_.OnStoreServedOthers(loop_->Now());
@@ -189,7 +200,8 @@
             .nodes = nodes_.size(),
             .domains_evacuated = backends_.CountEvacuatedDomains(),
             .ready = Ready(),
-            .store_lost = store_lost_};
+            .store_lost = store_lost_,
+            .store_readable = store_readable_};
   }
 
   edge::Stats EdgeStats() const { return server_->GetStats(); }
@@ -251,6 +263,9 @@
           [this] { return GetStats().ready ? 1 : 0; });
     gauge("comfreystand_store_lost", "Whether the store does not answer.",
           [this] { return GetStats().store_lost ? 1 : 0; });
+    gauge("comfreystand_store_readable",
+          "Whether the store's entries are read, directly or from a node.",
+          [this] { return GetStats().store_readable ? 1 : 0; });
     gauge("comfreystand_queued_requests", "Requests that wait for a slot.",
           [this] { return dispatcher_->Stats().queued; });
     using Stats = steer::DispatcherStats;
@@ -260,6 +275,8 @@
             &Stats::resends);
     counter("comfreystand_resends_denied_total",
             "Resends that the budget did not allow.", &Stats::resends_denied);
+    counter("comfreystand_health_checks_total",
+            "Backend servers asked for their state.", &Stats::probes);
     counter("comfreystand_shed_total", "Requests refused for want of slots.",
             &Stats::shed);
   }
@@ -416,6 +433,7 @@
   std::function<void()> on_stopped_;
   TimePoint stop_started_at_{};
   bool backends_listed_ = false;
+  bool store_readable_ = true;
   bool stopping_ = false;
   bool refusing_ = false;
   bool store_lost_ = false;
@@ -474,6 +492,9 @@
 void Gateway::OnStoreRegained() {
   impl_->OnStoreRegained();
 }
+void Gateway::OnStoreReadable(bool readable) {
+  impl_->OnStoreReadable(readable);
+}
 void Gateway::OnStoreServedOthers() {
   impl_->OnStoreServedOthers();
 }
--- a/src/node/slot_grants.cc
+++ b/src/node/slot_grants.cc
@@ -180,8 +180,8 @@
 
 void GrantLimitedDispatcher::OnProbe(TimePoint now,
                                      BackendId backend,
-                                     bool answered) {
-  inner_->OnProbe(now, backend, answered);
+                                     const steer::ProbeReport& report) {
+  inner_->OnProbe(now, backend, report);
 }
 
 bool GrantLimitedDispatcher::NextAction(TimePoint now, steer::Action* action) {
--- a/src/steer/balance_backend.cc
+++ b/src/steer/balance_backend.cc
@@ -52,6 +52,7 @@
   cold_until = same_incarnation ? std::max(cold_until, update.cold_until)
                                 : update.cold_until;
   cold_rate = update.cold_rate;
+  has_health_check = update.has_health_check;
   id = update.backend;
   service = update.service;
   domain = update.domain;
--- a/src/steer/balance_backend.h
+++ b/src/steer/balance_backend.h
@@ -5,6 +5,7 @@
 
 #include "comfreystand/base.h"
 #include "comfreystand/steer/dispatch.h"
+#include "src/steer/backend_check.h"
 #include "src/steer/balance_slowness.h"
 #include "src/steer/cold_start_limiter.h"
 
@@ -85,6 +86,9 @@
   // True on the one node that sends requests to it while it is cold.
   bool sends_while_cold = true;
   ColdStartLimiter cold_limiter;
+  bool has_health_check = false;
+  // Used while the states of the backend servers are uncertain.
+  BackendCheck check;
 
   uint32_t in_flight = 0;
   uint32_t long_in_flight = 0;
--- a/src/steer/balance_pool.cc
+++ b/src/steer/balance_pool.cc
@@ -60,7 +60,8 @@
                            const ChoiceRequest& request) const {
   const Backend& backend = At(member.backend);
   if (backend.state != BackendState::kLive || backend.suspended ||
-      now < backend.refused_until || Contains(request.exclude, backend.id)) {
+      now < backend.refused_until || Contains(request.exclude, backend.id) ||
+      CheckState(now, backend) == BackendCheck::State::kFailed) {
     return false;
   }
   if (!IsRegionAllowed(member, request)) {
@@ -74,6 +75,13 @@
          backend.slots + tuning_->placement.max_backlog;
 }
 
+BackendCheck::State ServicePool::CheckState(TimePoint now,
+                                            const Backend& backend) const {
+  return checks_backends_ && backend.has_health_check
+             ? backend.check.At(now)
+             : BackendCheck::State::kCurrent;
+}
+
 PlacementOrder ServicePool::PlacementOrderFor(
     const ChoiceRequest& request) const {
   PlacementOrder order(request.work.object, region_shift_.share());
@@ -164,6 +172,9 @@
   if (chosen == nullptr) {
     return {};
   }
+  if (CheckState(now, *chosen) != BackendCheck::State::kCurrent) {
+    return {.backend = {}, .needs_check = chosen->id};
+  }
   region_shift_.OnPlaced(spills);
   if (now < chosen->cold_until) {
     chosen->cold_limiter.OnStart(now);
--- a/src/steer/balance_pool.h
+++ b/src/steer/balance_pool.h
@@ -54,6 +54,8 @@
   // The backend server is suspect or ejected and the request tests whether it
   // has recovered.
   bool trial = false;
+  // Without a backend server: the one that is chosen once it has been probed.
+  BackendId needs_check;
 };
 
 // Balances the requests of one service over its backend servers, for one node.
@@ -81,6 +83,8 @@
   // Record the start and the end of an attempt.
   void OnStart(Backend* backend, Lane lane);
   void OnEnd(Backend* backend, Lane lane);
+  // Sets whether a backend server needs a recent probe to get a request.
+  void SetChecksBackends(bool checks) { checks_backends_ = checks; }
   // Records a load header of a backend server.
   void OnLoadHeader(TimePoint now, const Backend& backend);
   // Moves a running attempt from the short lane to the long lane.
@@ -162,6 +166,8 @@
   bool CanPlace(TimePoint now,
                 const Member& member,
                 const ChoiceRequest& request) const;
+  // State of the last probe; current when no probe is needed.
+  BackendCheck::State CheckState(TimePoint now, const Backend& backend) const;
   double MedianSlowness(TimePoint now);
   // Adjusts the weight of a member by its slowness relative to the median.
   // Returns true when the member has become ejected.
@@ -191,6 +197,7 @@
   uint32_t live_count_ = 0;
   uint32_t ejected_count_ = 0;
   bool has_local_backend_ = false;
+  bool checks_backends_ = false;
   // More than half of the members have finished slow start.
   bool pool_warm_ = false;
 };
--- a/src/steer/dispatch_admit.cc
+++ b/src/steer/dispatch_admit.cc
@@ -204,6 +204,7 @@
   Request* request = requests_.Find(handle);
   const Choice choice = ChooseBackend(now, service, *request);
   if (!choice.backend.IsValid()) {
+    RequestCheck(now, choice.needs_check);
     return false;
   }
   request->queued = false;
@@ -212,6 +213,19 @@
   return true;
 }
 
+void DispatcherCore::RequestCheck(TimePoint now, BackendId id) {
+  if (!id.IsValid()) {
+    return;
+  }
+  BackendCheck& check = backends_[id.value].check;
+  if (check.At(now) != BackendCheck::State::kDue) {
+    return;
+  }
+  check.OnSent(now);
+  ++stats_.probes;
+  actions_.push_back({.type = ActionType::kProbe, .backend = id});
+}
+
 bool DispatcherCore::StartFront(TimePoint now, Service* service, Lane lane) {
   FairQueue& queue = service->queues[static_cast<size_t>(lane)];
   const QueueEntry* front = queue.Front();
--- a/src/steer/dispatch_core.cc
+++ b/src/steer/dispatch_core.cc
@@ -64,6 +64,7 @@
   while (service.value >= services_.size()) {
     services_.emplace_back(init_.tuning, &backends_);
     services_.back().retry_budget.SetBurst(init_.tuning.retry_burst / count);
+    services_.back().pool.SetChecksBackends(backends_uncertain_);
   }
 }
 
@@ -87,6 +88,14 @@
   }
 }
 
+void DispatcherCore::SetBackendsUncertain(TimePoint now, bool uncertain) {
+  backends_uncertain_ = uncertain;
+  for (size_t i = 0; i < services_.size(); ++i) {
+    services_[i].pool.SetChecksBackends(uncertain);
+    StartQueued(now, ServiceId(static_cast<uint16_t>(i)));
+  }
+}
+
 void DispatcherCore::SetSlotLimit(ServiceId service,
                                   DomainId domain,
                                   Slots limit) {
@@ -121,16 +130,28 @@
                                static_cast<double>(backend.in_flight));
 }
 
-void DispatcherCore::OnProbe(TimePoint now, BackendId id, bool answered) {
-  if (id.value >= backends_.size() || !answered) {
+void DispatcherCore::OnProbe(TimePoint now,
+                             BackendId id,
+                             const ProbeReport& report) {
+  if (id.value >= backends_.size()) {
     return;
   }
   Backend& backend = backends_[id.value];
-  if (backend.suspect) {
+  backend.check.OnResult(now, report.healthy);
+  if (report.remaining_cold_time) {
+    backend.cold_until =
+        std::max(backend.cold_until, now + *report.remaining_cold_time);
+  }
+  if (report.from_other_backend) {
+    backend.MarkLeaving();
+    MarkForRebuild(backend.service);
+  }
+  if (report.healthy && backend.suspect) {
     backend.OnProgress(now);
     backend.weight = kWeightAfterProbe;
-    StartQueued(now, backend.service);
   }
+  RebuildPools();
+  StartQueued(now, backend.service);
 }
 
 bool DispatcherCore::NextAction(TimePoint now, Action* action) {
--- a/src/steer/dispatch_core.h
+++ b/src/steer/dispatch_core.h
@@ -34,6 +34,7 @@
   void UpdateBackend(TimePoint now, const BackendUpdate& update) override;
   void SetPeersInDomain(uint32_t rank, uint32_t count) override;
   void SetPeerNodes(const PeerNodes& peers) override;
+  void SetBackendsUncertain(TimePoint now, bool uncertain) override;
   void SetSlotLimit(ServiceId service, DomainId domain, Slots limit) override;
   void StopAdmitting() override { admitting_ = false; }
   RequestHandle Submit(TimePoint now, const RequestTraits& traits) override;
@@ -42,7 +43,9 @@
                  AttemptHandle attempt,
                  const AttemptReport& report) override;
   void OnLoadReport(TimePoint now, const LoadReport& report) override;
-  void OnProbe(TimePoint now, BackendId backend, bool answered) override;
+  void OnProbe(TimePoint now,
+               BackendId backend,
+               const ProbeReport& report) override;
   bool NextAction(TimePoint now, Action* action) override;
   TimePoint NextWakeup() const override;
   DispatcherStats Stats() const override;
@@ -115,6 +118,8 @@
   struct WaitingRequest;
   void StartQueuedByPlacement(TimePoint now, Service* service);
   bool StartRequest(TimePoint now, Service* service, RequestHandle handle);
+  // Probes a backend server unless a probe is under way.
+  void RequestCheck(TimePoint now, BackendId backend);
   Choice ChooseBackend(TimePoint now, Service* service, const Request& request);
   std::span<const BackendId> TriedBackends(const Request& request) const;
   uint8_t MaxAttempts(const Request& request) const;
@@ -188,6 +193,7 @@
   PeerRank peer_rank_;
   PeerNodes peer_nodes_;
   bool admitting_ = true;
+  bool backends_uncertain_ = false;
   bool any_needs_rebuild_ = false;
   uint32_t queued_ = 0;
   DispatcherStats stats_;
--- a/standins/instance.cc
+++ b/standins/instance.cc
@@ -9,6 +9,8 @@
 
 namespace names = platform::names;
 
+constexpr char kHealthPath[] = "/health";
+
 std::string RequestHeader(const ExchangePtr& exchange, const char* name) {
   const std::string* value = edge::FindHeader(exchange->head().headers, name);
   return value ? *value : std::string();
@@ -58,7 +60,20 @@
   }
 }
 
+void Instance::AnswerHealthCheck(const ExchangePtr& exchange) {
+  ++health_checks_;
+  std::vector<Header> headers = {{names::kInstanceId, name_}};
+  if (behaviour_.cold_ms > 0) {
+    headers.push_back({names::kColdMs, std::to_string(behaviour_.cold_ms)});
+  }
+  exchange->Respond(200, "", headers);
+}
+
 void Instance::OnRequest(const ExchangePtr& exchange) {
+  if (exchange->head().path == kHealthPath) {
+    AnswerHealthCheck(exchange);
+    return;
+  }
   last_headers_ = exchange->head().headers;
   last_target_ = exchange->head().target;
   last_body_ = exchange->body();
--- a/standins/instance.h
+++ b/standins/instance.h
@@ -20,6 +20,8 @@
   bool shedding = false;
   // Service time of requests without work_ms in the query, milliseconds.
   int64_t work_ms = 1;
+  // Remaining cold time that health checks tell, milliseconds.
+  int64_t cold_ms = 0;
 };
 
 // The query of a request may set:
@@ -49,6 +51,7 @@
   // Number of times a request was executed.
   int RunCount(const std::string& request_id) const;
   int total_runs() const { return total_runs_; }
+  int health_checks() const { return health_checks_; }
   int busy() const { return busy_; }
   // Executions whose caller disconnected before their end.
   int cancelled() const { return cancelled_; }
@@ -59,6 +62,7 @@
 
  private:
   void OnHead(const ExchangePtr& exchange);
+  void AnswerHealthCheck(const ExchangePtr& exchange);
   void OnRequest(const ExchangePtr& exchange);
   void Run(const ExchangePtr& exchange);
   void SendResponse(const ExchangePtr& exchange);
@@ -71,6 +75,7 @@
   uint16_t port_ = 0;
   std::map<std::string, int> run_counts_;
   int total_runs_ = 0;
+  int health_checks_ = 0;
   int busy_ = 0;
   int cancelled_ = 0;
   std::vector<std::function<void()>> held_requests_;
--- a/tests/dispatch_history_test.cc
+++ b/tests/dispatch_history_test.cc
@@ -78,8 +78,10 @@
   void OnLoadReport(TimePoint now, const steer::LoadReport& report) override {
     inner_->OnLoadReport(now, report);
   }
-  void OnProbe(TimePoint now, BackendId backend, bool answered) override {
-    inner_->OnProbe(now, backend, answered);
+  void OnProbe(TimePoint now,
+               BackendId backend,
+               const steer::ProbeReport& report) override {
+    inner_->OnProbe(now, backend, report);
   }
   bool NextAction(TimePoint now, Action* action) override {
     const bool has_action = inner_->NextAction(now, action);
--- a/tests/gateway_cut_test.cc
+++ b/tests/gateway_cut_test.cc
@@ -72,8 +72,8 @@
     other_copy.Start();
     REQUIRE(RunUntil([&] { return other_copy.listed(); }));
     peers.emplace(std::vector<StoreReader*>{&*other_reader});
-    copy.emplace(PrefixWatcher::Init{.prefix = "p/", .peers = &*peers},
-                 &loop, &reader,
+    copy.emplace(PrefixWatcher::Init{.prefix = "p/", .peers = &*peers}, &loop,
+                 &reader,
                  PrefixWatcher::Listener{
                      .on_written = [](const StoreItem&) {},
                      .on_removed = [](const std::string&) {},
--- a/tests/gateway_store_refusal_test.cc
+++ b/tests/gateway_store_refusal_test.cc
@@ -73,6 +73,46 @@
   CHECK(all_know(0));
 }
 
+TEST_CASE("a backend server that turns cold while no node has the store") {
+  GatewayFixture fixture(1);
+  REQUIRE(fixture.WaitUntilReady());
+  standins::Instance& server = *fixture.servers[0];
+  fixture.store.SetFaults({.outage = standins::Outage::kReset});
+  REQUIRE(fixture.WaitUntil(
+      [&] { return fixture.gateway->gateway().GetStats().store_lost; }));
+  constexpr int kRequests = 30;
+  constexpr std::chrono::milliseconds kObserved{900};
+  const auto runs_of_requests = [&] {
+    std::vector<std::unique_ptr<testing::RawCaller>> callers;
+    for (int i = 0; i < kRequests; ++i) {
+      callers.push_back(fixture.OpenCaller(
+          testing::GatewayRequest("GET", "/look/a", "r" + std::to_string(i))));
+      standins::RunUntil(&fixture.loop, kObserved / kRequests,
+                         [] { return false; });
+    }
+    return server.total_runs();
+  };
+  SUBCASE("is not flooded") {
+    server.behaviour().cold_ms = 3'000;
+    // The store's configuration: 3.6 requests a second.
+    CHECK(runs_of_requests() <= 5);
+  }
+  SUBCASE("gets all requests when it is warm after all") {
+    CHECK(runs_of_requests() >= kRequests - 1);
+    CHECK(server.health_checks() <= 6);
+  }
+  SUBCASE("is not asked for its state once the store answers") {
+    fixture.store.SetFaults({});
+    REQUIRE(fixture.WaitUntil(
+        [&] { return !fixture.gateway->gateway().GetStats().store_lost; }));
+    fixture.WaitUntil(
+        [&] { return fixture.gateway->gateway().GetStats().store_readable; });
+    const int checks = server.health_checks();
+    CHECK(runs_of_requests() >= kRequests - 1);
+    CHECK(server.health_checks() == checks);
+  }
+}
+
 TEST_CASE("nodes that the store turns away still share the fleet's limits") {
   RefusalFixture fixture;
   fixture.path.SetFaults({.reset_new_connections = true});
--- a/tests/platform_decode_test.cc
+++ b/tests/platform_decode_test.cc
@@ -239,6 +239,11 @@
        return ServiceNamed(config, "desk")->cold_time ==
               std::chrono::seconds(10);
      }},
+    {"/services/desk/healthPath", "no path",
+     "services.desk.healthPath is not a path",
+     [](const TrafficRoute*, const TrafficConfig& config) {
+       return ServiceNamed(config, "desk")->health_path.empty();
+     }},
     {"/services/desk/coldPerS", "many",
      "services.desk.coldPerS is not a number",
      [](const TrafficRoute*, const TrafficConfig& config) {
--- a/tests/support/fake_dispatcher.cc
+++ b/tests/support/fake_dispatcher.cc
@@ -160,8 +160,10 @@
   load_reports.push_back(report);
 }
 
-void FakeDispatcher::OnProbe(TimePoint now, BackendId backend, bool answered) {
-  probe_results.emplace_back(backend, answered);
+void FakeDispatcher::OnProbe(TimePoint now,
+                             BackendId backend,
+                             const steer::ProbeReport& report) {
+  probe_results.emplace_back(backend, report.healthy);
 }
 
 bool FakeDispatcher::NextAction(TimePoint now, steer::Action* action) {
--- a/tests/support/fake_dispatcher.h
+++ b/tests/support/fake_dispatcher.h
@@ -49,7 +49,9 @@
                  AttemptHandle attempt,
                  const steer::AttemptReport& report) override;
   void OnLoadReport(TimePoint now, const steer::LoadReport& report) override;
-  void OnProbe(TimePoint now, BackendId backend, bool answered) override;
+  void OnProbe(TimePoint now,
+               BackendId backend,
+               const steer::ProbeReport& report) override;
   bool NextAction(TimePoint now, steer::Action* action) override;
   TimePoint NextWakeup() const override;
 
