Share the rate that a backend server names over all nodes

Cause: no code read the limit; the header name was unknown. Class of fault: a statement of a backend server about all nodes together was not part of any decision.

Evidence: of the three hypotheses, the first (the header isn't read) holds by itself. The second (each node that reads it would use the whole rate) is why the rate is shared: a limit may be below one request a second for each node. The third (kept too long, or forgotten) is tested: it follows every answer and ends with the first one that names none.

Change: the limiter of cold backend servers becomes SharedRate, which serves both. Each node has a rank for a backend server by rendezvous hashing. The first four, and one more for each request per second, send at an equal part of the rate; the others send one now and then, spread over time, to learn whether the limit still holds. Requests that don't fit go elsewhere or are refused. Attempts in the log tell the limit; comfreystand_backends_limited counts them.

The simulated fleet moves to tests/support, as two tests use it now.

--- a/include/comfreystand/relay_protocol.h
+++ b/include/comfreystand/relay_protocol.h
@@ -158,6 +158,8 @@
   std::optional<steer::LoadHeader> load;
   // Time for which the backend server stays cold, when reported.
   std::optional<Duration> remaining_cold_time;
+  // As in steer::AttemptReport.
+  std::optional<double> max_rate;
 };
 
 // Reads and writes headers towards callers and backend servers. Implementations
@@ -226,6 +228,10 @@
                         bool (*forwards)(std::string_view name),
                         std::string* lines);
 
+// Parses a non-negative number, with or without a decimal fraction. Returns
+// false for anything else.
+bool ParseDecimal(std::string_view text, double* value);
+
 // Parses a whole decimal number. Returns false for anything else.
 bool ParseInteger(std::string_view text, int64_t* value);
 
--- a/include/comfreystand/steer/dispatch.h
+++ b/include/comfreystand/steer/dispatch.h
@@ -2,6 +2,7 @@
 #define COMFREYSTAND_STEER_DISPATCH_H_
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -14,6 +15,10 @@
 // The driver (listener or experiment) reports events and executes actions.
 namespace comfreystand::steer {
 
+// A backend server's rate limit when it names none.
+inline constexpr double kUnlimitedRate =
+    std::numeric_limits<double>::infinity();
+
 // Load that a backend server reports with an answer.
 struct LoadHeader {
   int running = 0;
@@ -117,6 +122,9 @@
   std::optional<LoadHeader> load;
   // Remaining time of the backend server's cold phase, when reported.
   std::optional<Duration> remaining_cold_time;
+  // Requests per second that the backend server takes from all nodes together;
+  // kUnlimitedRate when it names no limit. Not set when nothing tells.
+  std::optional<double> max_rate;
   // The answer is an error that the backend server itself produced.
   bool failed = false;
   // The answer came from another backend server, which now uses the address.
@@ -276,6 +284,8 @@
   uint32_t queued = 0;
   uint32_t in_flight = 0;
   uint32_t ejected_backends = 0;
+  // Live backend servers that have named a limit.
+  uint32_t limited_backends = 0;
 };
 
 // State of one backend server as the dispatcher sees it.
--- a/src/edge/attempt.cc
+++ b/src/edge/attempt.cc
@@ -94,6 +94,7 @@
   report.reported_free_slots = answer_.free_slots;
   report.load = answer_.load;
   report.remaining_cold_time = answer_.remaining_cold_time;
+  report.max_rate = answer_.max_rate;
   report.failed = answer_.failed;
   report.from_other_backend = answer_.kind == AnswerInfo::Kind::kOtherBackend;
   delegate_->OnAttemptReport(this, report);
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -73,6 +73,7 @@
     steer::AttemptEvent event = steer::AttemptEvent::kWritten;
     std::optional<steer::LoadHeader> load;
     std::optional<Duration> remaining_cold_time;
+    std::optional<double> max_rate;
   };
   std::vector<AttemptRecord>& attempt_records() { return attempt_records_; }
   // HTTP status sent to the caller; 0 while there is none.
--- a/src/edge/relay_protocol.cc
+++ b/src/edge/relay_protocol.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace comfreystand::edge {
@@ -124,6 +125,13 @@
   return true;
 }
 
+bool ParseDecimal(std::string_view text, double* value) {
+  const auto result = std::from_chars(text.data(), text.data() + text.size(),
+                                      *value, std::chars_format::fixed);
+  return result.ec == std::errc() && result.ptr == text.data() + text.size() &&
+         std::isfinite(*value) && *value >= 0;
+}
+
 bool ParseInteger(std::string_view text, int64_t* value) {
   const auto result =
       std::from_chars(text.data(), text.data() + text.size(), *value);
--- a/src/edge/request_log.cc
+++ b/src/edge/request_log.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdio>
 #include <string>
 #include <string_view>
 
@@ -38,8 +39,14 @@
   return std::max<int64_t>(0, Millis(traits.deadline - traits.arrival));
 }
 
-// "BACKEND START+DURATION EVENT LOAD COLD" in milliseconds; START counts from
-// the arrival of the request.
+std::string FormatRate(double per_second) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.2f", per_second);
+  return text.data();
+}
+
+// "BACKEND START+DURATION EVENT LOAD LIMIT COLD" in milliseconds; START counts
+// from the arrival of the request.
 std::string FormatAttempt(const Relay::AttemptRecord& record,
                           TimePoint arrival,
                           TimePoint now) {
@@ -54,6 +61,9 @@
             std::to_string(record.load->slots) + " work=" +
             std::to_string(static_cast<int>(record.load->work_factor * 100));
   }
+  if (record.max_rate && *record.max_rate < steer::kUnlimitedRate) {
+    text += " limit=" + FormatRate(*record.max_rate);
+  }
   if (record.remaining_cold_time) {
     text += " cold=" + std::to_string(Millis(*record.remaining_cold_time));
   }
--- a/src/edge/server_actions.cc
+++ b/src/edge/server_actions.cc
@@ -87,7 +87,8 @@
                                         .started = now,
                                         .ended = {},
                                         .load = {},
-                                        .remaining_cold_time = {}});
+                                        .remaining_cold_time = {},
+                                        .max_rate = {}});
   }
   attempts_[action.attempt] = std::move(owned);
   ++stats_.attempts;
@@ -250,6 +251,7 @@
       record.ended = clock_->Now();
       record.load = report.load;
       record.remaining_cold_time = report.remaining_cold_time;
+      record.max_rate = report.max_rate;
     }
   }
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -266,6 +266,9 @@
     gauge("comfreystand_store_readable",
           "Whether the store's entries are read, directly or from a node.",
           [this] { return GetStats().store_readable ? 1 : 0; });
+    gauge("comfreystand_backends_limited",
+          "Backend servers that have named a limit.",
+          [this] { return dispatcher_->Stats().limited_backends; });
     gauge("comfreystand_queued_requests", "Requests that wait for a slot.",
           [this] { return dispatcher_->Stats().queued; });
     using Stats = steer::DispatcherStats;
--- a/src/steer/balance_backend.cc
+++ b/src/steer/balance_backend.cc
@@ -38,6 +38,7 @@
     next = std::max(state, update.state);
   } else {
     served = 0;
+    max_rate = kUnlimitedRate;
     weight = 1;
     suspect = false;
     progress_timeouts_ = 0;
--- a/src/steer/balance_backend.h
+++ b/src/steer/balance_backend.h
@@ -7,7 +7,7 @@
 #include "comfreystand/steer/dispatch.h"
 #include "src/steer/backend_check.h"
 #include "src/steer/balance_slowness.h"
-#include "src/steer/cold_start_limiter.h"
+#include "src/steer/shared_rate.h"
 
 namespace comfreystand::steer {
 
@@ -24,6 +24,7 @@
   // Records that the backend server announced that it is leaving.
   void MarkLeaving();
 
+  bool IsLimited() const { return max_rate < kUnlimitedRate; }
   bool IsEjected() const { return weight <= kEjectedWeight; }
 
   // Slots that the node may use, limited by weight and slow start. Slow start
@@ -83,9 +84,9 @@
   bool suspended = false;
   TimePoint cold_until;
   double cold_rate = 0;
-  // True on the one node that sends requests to it while it is cold.
-  bool sends_while_cold = true;
-  ColdStartLimiter cold_limiter;
+  // Requests per second that it takes from all nodes together, as it last said.
+  double max_rate = kUnlimitedRate;
+  SharedRate shared_rate;
   bool has_health_check = false;
   // Used while the states of the backend servers are uncertain.
   BackendCheck check;
--- a/src/steer/balance_pool.cc
+++ b/src/steer/balance_pool.cc
@@ -68,8 +68,14 @@
     return false;
   }
   if (now < backend.cold_until) {
-    return backend.sends_while_cold && backend.in_flight < backend.slots &&
-           backend.cold_limiter.MayStart(now, backend.cold_rate);
+    if (backend.in_flight >= backend.slots ||
+        !backend.shared_rate.MayStartCold(now, backend.cold_rate)) {
+      return false;
+    }
+  }
+  if (backend.IsLimited() &&
+      !backend.shared_rate.MayStartLimited(now, backend.max_rate)) {
+    return false;
   }
   return backend.in_flight + backend.ExpectedPeerRequests(now) <
          backend.slots + tuning_->placement.max_backlog;
@@ -134,6 +140,7 @@
       backend.next_trial = now + backend.trial_wait;
       backend.trial_wait =
           std::min(backend.trial_wait * 2, tuning_->trial_interval * 8);
+      backend.shared_rate.OnStart(now);
       return {.backend = backend.id, .trial = true};
     }
     if (backend.suspect || backend.IsEjected()) {
@@ -176,9 +183,7 @@
     return {.backend = {}, .needs_check = chosen->id};
   }
   region_shift_.OnPlaced(spills);
-  if (now < chosen->cold_until) {
-    chosen->cold_limiter.OnStart(now);
-  }
+  chosen->shared_rate.OnStart(now);
   return {.backend = chosen->id};
 }
 
--- a/src/steer/dispatch_attempt.cc
+++ b/src/steer/dispatch_attempt.cc
@@ -49,6 +49,9 @@
     backend.cold_until =
         std::max(backend.cold_until, now + *report.remaining_cold_time);
   }
+  if (report.max_rate) {
+    backend.max_rate = *report.max_rate;
+  }
   if (report.leaving || report.from_other_backend) {
     backend.MarkLeaving();
     MarkForRebuild(backend.service);
--- a/src/steer/dispatch_core.cc
+++ b/src/steer/dispatch_core.cc
@@ -40,8 +40,7 @@
   const ServiceId old_service = backend.service;
   const Incarnation old_incarnation = backend.incarnation;
   const bool changed = backend.Apply(update);
-  backend.sends_while_cold =
-      ColdStartLimiter::IsOwner(backend.key, peer_nodes_);
+  backend.shared_rate.SetNodes(backend.key, peer_nodes_);
   if (old_incarnation != backend.incarnation) {
     services_[update.service.value].pool.warm_objects().OnRestarted(
         update.backend);
@@ -84,7 +83,7 @@
     service.retry_budget.SetBurst(init_.tuning.retry_burst / count);
   }
   for (Backend& backend : backends_) {
-    backend.sends_while_cold = ColdStartLimiter::IsOwner(backend.key, peers);
+    backend.shared_rate.SetNodes(backend.key, peers);
   }
 }
 
@@ -364,6 +363,10 @@
   for (const Service& service : services_) {
     stats.ejected_backends += service.pool.EjectedCount();
   }
+  stats.limited_backends = static_cast<uint32_t>(std::count_if(
+      backends_.begin(), backends_.end(), [](const Backend& backend) {
+        return backend.state == BackendState::kLive && backend.IsLimited();
+      }));
   return stats;
 }
 
--- a/standins/instance.cc
+++ b/standins/instance.cc
@@ -48,6 +48,9 @@
                      "\r\n" + names::kServerLoad + ": " +
                      std::to_string(busy_) + ",0," +
                      std::to_string(behaviour_.slots) + "\r\n";
+  if (!behaviour_.limit.empty()) {
+    text += std::string(names::kServerLimit) + ": " + behaviour_.limit + "\r\n";
+  }
   if (exchange->Query("stamp") != "0") {
     text += std::string(names::kServerStamp) + ": " + name_ + "\r\n";
   }
--- a/standins/instance.h
+++ b/standins/instance.h
@@ -20,6 +20,8 @@
   bool shedding = false;
   // Service time of requests without work_ms in the query, milliseconds.
   int64_t work_ms = 1;
+  // Limit that answers name, requests per second; none when empty.
+  std::string limit;
   // Remaining cold time that health checks tell, milliseconds.
   int64_t cold_ms = 0;
 };
--- a/tests/gateway_path_test.cc
+++ b/tests/gateway_path_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 #include <event2/event.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -53,6 +54,42 @@
   }
 }
 
+TEST_CASE("a gateway whose backend server has named a limit") {
+  GatewayFixture fixture(1);
+  REQUIRE(fixture.WaitUntilReady());
+  Instance& server = *fixture.servers[0];
+  server.behaviour().limit = "2.5";
+  REQUIRE(fixture.SendAndWait(GatewayRequest("GET", "/look/a", "first"))
+              ->LastStatus() == 200);
+  std::vector<std::unique_ptr<testing::RawCaller>> callers;
+  for (int i = 0; i < 20; ++i) {
+    callers.push_back(fixture.OpenCaller(
+        GatewayRequest("GET", "/look/a", "r" + std::to_string(i))));
+  }
+  SUBCASE("sends no more and refuses the others soon") {
+    REQUIRE(fixture.WaitUntil([&] {
+      return std::all_of(
+          callers.begin(), callers.end(),
+          [](const auto& caller) { return caller->AnswerCount() == 1; });
+    }));
+    CHECK(server.total_runs() <= 2);
+    CHECK(callers.back()->LastStatus() == 503);
+  }
+  SUBCASE("sends all once it names none any more") {
+    server.behaviour().limit.clear();
+    REQUIRE(fixture.WaitUntil([&] {
+      return fixture.SendAndWait(GatewayRequest("GET", "/look/a", "later"))
+                 ->LastStatus() == 200;
+    }));
+    const int before = server.total_runs();
+    for (int i = 0; i < 5; ++i) {
+      CHECK(fixture.SendAndWait(GatewayRequest("GET", "/look/a", "x"))
+                ->LastStatus() == 200);
+    }
+    CHECK(server.total_runs() == before + 5);
+  }
+}
+
 TEST_CASE("a request through a gateway") {
   GatewayFixture fixture;
   REQUIRE(fixture.WaitUntilReady());
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "src/steer/cold_start_limiter.h"
 #include "src/steer/region_shift.h"
+#include "src/steer/shared_rate.h"
 #include "src/steer/warm_objects.h"
 
 namespace comfreystand::steer {
@@ -172,25 +172,25 @@
     for (uint64_t key = 1; key < 200; ++key) {
       int owners = 0;
       for (const uint64_t node : nodes) {
-        owners += ColdStartLimiter::IsOwner(key, {.self = node, .live = nodes})
-                      ? 1
-                      : 0;
+        SharedRate rate;
+        rate.SetNodes(key, {.self = node, .live = nodes});
+        owners += rate.MayStartCold(TimePoint(seconds(100)), 3.6) ? 1 : 0;
       }
       CHECK(owners == 1);
     }
   }
   SUBCASE("receives requests at its rate, without a burst") {
-    ColdStartLimiter limiter;
+    SharedRate limiter;
     int started = 0;
     for (int ms = 0; ms < 1'000; ++ms) {
       const TimePoint now{seconds(100) + milliseconds(ms)};
-      if (limiter.MayStart(now, 3.6)) {
+      if (limiter.MayStartCold(now, 3.6)) {
         limiter.OnStart(now);
         ++started;
       }
     }
     CHECK(started == 4);
-    CHECK_FALSE(limiter.MayStart(TimePoint(seconds(200)), 0));
+    CHECK_FALSE(limiter.MayStartCold(TimePoint(seconds(200)), 0));
   }
 }
 
--- a/tests/platform_relay_test.cc
+++ b/tests/platform_relay_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <optional>
 #include <string>
 
 #include "comfreystand/traffic.h"
@@ -249,6 +250,74 @@
   }
 }
 
+TEST_CASE("reading the limit that a backend server names") {
+  struct Case {
+    int status;
+    std::vector<edge::HeaderField> headers;
+    std::optional<double> rate;
+  };
+  const edge::HeaderField stamp = {"Comfreystand-Server-Stamp", "s"};
+  const edge::HeaderField not_executed = {"Comfreystand-Not-Executed", "1"};
+  const Case cases[] = {
+      {200, {stamp, {"Server-Limit", "2.8"}}, 2.8},
+      {200, {stamp, {"Server-Limit", "3"}}, 3},
+      {200, {stamp, {"Server-Limit", "0"}}, 0},
+      {200, {stamp}, steer::kUnlimitedRate},
+      {500, {stamp}, steer::kUnlimitedRate},
+      {503, {not_executed, {"Server-Limit", "1"}}, 1},
+      {503, {not_executed}, std::nullopt},
+      {421, {{"Server-Limit", "1"}}, std::nullopt},
+      {200, {stamp, {"Server-Limit", "many"}}, std::nullopt},
+      {200, {stamp, {"Server-Limit", "-1"}}, std::nullopt},
+      {200, {stamp, {"Server-Limit", "inf"}}, std::nullopt},
+      {200, {stamp, {"Server-Limit", "2,8"}}, std::nullopt},
+      {200, {stamp, {"Server-Limit", ""}}, std::nullopt},
+  };
+  Fixture fixture;
+  for (const Case& c : cases) {
+    AnswerHead head;
+    head.status = c.status;
+    head.headers = c.headers;
+    CAPTURE(c.status);
+    CHECK(fixture.protocol.ReadAnswer(head, {}).max_rate == c.rate);
+  }
+}
+
+TEST_CASE("reading the answer to a health check") {
+  const std::string own = "i-0";
+  struct Case {
+    int status;
+    std::vector<edge::HeaderField> headers;
+    bool healthy;
+    bool other;
+    std::optional<Duration> cold_time;
+  };
+  const edge::HeaderField name = {"Comfreystand-Instance-Id", own};
+  const Case cases[] = {
+      {200, {name}, true, false, std::nullopt},
+      {200,
+       {name, {"Comfreystand-Cold-Ms", "250"}},
+       true,
+       false,
+       std::chrono::milliseconds(250)},
+      {503, {name}, false, false, std::nullopt},
+      {200, {{"Comfreystand-Instance-Id", "i-1"}}, false, true, std::nullopt},
+      // An answer to an earlier request on the connection.
+      {200, {{"Comfreystand-Server-Stamp", "s"}}, false, false, std::nullopt},
+  };
+  Fixture fixture;
+  for (const Case& c : cases) {
+    AnswerHead head;
+    head.status = c.status;
+    head.headers = c.headers;
+    const steer::ProbeReport report = fixture.protocol.ReadHealth(head, own);
+    CAPTURE(c.status);
+    CHECK(report.healthy == c.healthy);
+    CHECK(report.from_other_backend == c.other);
+    CHECK(report.remaining_cold_time == c.cold_time);
+  }
+}
+
 TEST_CASE("parsing the load header") {
   struct Case {
     const char* text;
--- /dev/null
+++ b/tests/support/backend_fleet.h
@@ -0,0 +1,201 @@
+#ifndef COMFREYSTAND_TESTS_SUPPORT_BACKEND_FLEET_H_
+#define COMFREYSTAND_TESTS_SUPPORT_BACKEND_FLEET_H_
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <vector>
+
+#include "comfreystand/steer/dispatch.h"
+
+namespace comfreystand::steer::testing {
+
+struct BackendFleetInit {
+  int nodes = 7;
+  bool uncertain = false;
+  // Time between two requests of callers to the fleet.
+  Duration request_interval = std::chrono::milliseconds(70);
+  // Requests per second that the backend server takes while it is cold.
+  double cold_rate = 3.6;
+};
+
+// Several nodes that send requests to one backend server, in virtual time.
+class BackendFleet {
+ public:
+  static constexpr Duration kColdTime = std::chrono::seconds(3);
+
+  explicit BackendFleet(const BackendFleetInit& init) : init_(init) {
+    for (int i = 0; i < init.nodes; ++i) {
+      peers_.live.push_back(NameHash(i));
+    }
+    for (int i = 0; i < init.nodes; ++i) {
+      nodes_.push_back(CreateNode(i));
+    }
+  }
+
+  // Callers send requests for `time`, to one node after the other.
+  void Run(Duration time) {
+    for (const TimePoint end = now_ + time; now_ < end;) {
+      now_ += std::chrono::milliseconds(1);
+      RunDue();
+      while (now_ >= next_request_) {
+        next_request_ += init_.request_interval;
+        Submit(next_node_++ % init_.nodes);
+      }
+    }
+  }
+
+  void TurnCold() { cold_until_ = now_ + kColdTime; }
+  void StopAnsweringProbes() { answers_probes_ = false; }
+  // Answers name this limit from now on; kUnlimitedRate ends it.
+  void NameLimit(double per_second) { limit_ = per_second; }
+  // A node is replaced by one that knows nothing of limits.
+  void Restart(int node) {
+    ++generation_;
+    nodes_[node] = CreateNode(node);
+  }
+
+  TimePoint now() const { return now_; }
+  int probes() const { return probes_; }
+  int ArrivalsSince(TimePoint start) const { return CountBetween(start, now_); }
+  int ArrivalsWhileCold() const {
+    return MostInWindow(std::chrono::seconds(1), cold_until_ - kColdTime);
+  }
+  // Most requests in a window of a length since `start`.
+  int MostInWindow(Duration window, TimePoint start) const {
+    int most = 0;
+    for (const TimePoint arrival : arrivals_) {
+      if (arrival >= start) {
+        most = std::max(most, CountBetween(arrival, arrival + window));
+      }
+    }
+    return most;
+  }
+
+ private:
+  static constexpr ServiceId kService{0};
+  static constexpr BackendId kBackend{0};
+  static constexpr Duration kRoundTrip = std::chrono::milliseconds(5);
+  static constexpr Duration kWorkTime = std::chrono::milliseconds(100);
+
+  struct Event {
+    TimePoint when;
+    std::function<void()> run;
+    bool operator>(const Event& other) const { return when > other.when; }
+  };
+
+  static uint64_t NameHash(int node) {
+    return StableHash(static_cast<uint64_t>(node), 99);
+  }
+
+  std::unique_ptr<Dispatcher> CreateNode(int index) {
+    DispatcherInit init;
+    init.rules.regions = {{"r"}};
+    init.rules.domains = {
+        {"d", RegionId(0), static_cast<uint32_t>(init_.nodes)}};
+    init.default_remote_limit = Slots{-1};
+    init.tuning.hedge_ratio = 0;
+    init.tuning.hedge_burst = 0;
+    init.tuning.probe_share = 0;
+    init.tuning.placement.enabled = true;
+    auto node = CreateDispatcher(init);
+    peers_.self = NameHash(index);
+    node->SetPeerNodes(peers_);
+    node->UpdateBackend(now_, {.backend = kBackend,
+                               .service = kService,
+                               .domain = DomainId(0),
+                               .slots = Slots{100},
+                               .incarnation = Incarnation{1},
+                               .key = 1,
+                               .cold_rate = init_.cold_rate,
+                               .has_health_check = true});
+    node->SetBackendsUncertain(now_, init_.uncertain);
+    return node;
+  }
+
+  int CountBetween(TimePoint start, TimePoint end) const {
+    return static_cast<int>(std::count_if(
+        arrivals_.begin(), arrivals_.end(),
+        [&](TimePoint arrival) { return arrival >= start && arrival < end; }));
+  }
+
+  void Submit(int node) {
+    nodes_[node]->Submit(now_, {.service = kService,
+                                .idempotent = true,
+                                .arrival = now_,
+                                .deadline = now_ + std::chrono::seconds(2),
+                                .goal = std::chrono::milliseconds(400)});
+    HandleActions(node);
+  }
+
+  void HandleActions(int node) {
+    Action action;
+    while (nodes_[node]->NextAction(now_, &action)) {
+      if (action.type == ActionType::kProbe) {
+        ++probes_;
+        After(kRoundTrip, [this, node] { AnswerProbe(node); });
+      } else if (action.type == ActionType::kStartAttempt) {
+        arrivals_.push_back(now_);
+        After(kWorkTime,
+              [this, node, generation = generation_, attempt = action.attempt] {
+                if (generation == generation_) {
+                  Answer(node, attempt);
+                }
+              });
+      }
+    }
+  }
+
+  void Answer(int node, AttemptHandle attempt) {
+    nodes_[node]->OnAttempt(
+        now_, attempt, {.event = AttemptEvent::kAnswered, .max_rate = limit_});
+    HandleActions(node);
+  }
+
+  void AnswerProbe(int node) {
+    if (!answers_probes_) {
+      return;
+    }
+    ProbeReport report = {.healthy = true};
+    if (now_ < cold_until_) {
+      report.remaining_cold_time = cold_until_ - now_;
+    }
+    nodes_[node]->OnProbe(now_, kBackend, report);
+    HandleActions(node);
+  }
+
+  void After(Duration delay, std::function<void()> run) {
+    events_.push({now_ + delay, std::move(run)});
+  }
+
+  void RunDue() {
+    while (!events_.empty() && events_.top().when <= now_) {
+      const Event event = events_.top();
+      events_.pop();
+      event.run();
+    }
+    for (int node = 0; node < init_.nodes; ++node) {
+      HandleActions(node);
+    }
+  }
+
+  const BackendFleetInit init_;
+  PeerNodes peers_;
+  TimePoint now_ = TimePoint(std::chrono::seconds(1));
+  TimePoint next_request_ = now_;
+  TimePoint cold_until_{};
+  double limit_ = kUnlimitedRate;
+  int next_node_ = 0;
+  int probes_ = 0;
+  int generation_ = 0;
+  bool answers_probes_ = true;
+  std::vector<std::unique_ptr<Dispatcher>> nodes_;
+  std::vector<TimePoint> arrivals_;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+};
+
+}  // namespace comfreystand::steer::testing
+
+#endif  // COMFREYSTAND_TESTS_SUPPORT_BACKEND_FLEET_H_
