Probe a suspect backend server before its trial while states are uncertain

Callers: a backend server that failed, and came back cold while nothing could read the store, could get a trial request from every node in the same second: 36 in virtual time with 33 nodes (10.4 allowed).

Cause: trials were chosen before the state of the probe was looked at.

Change: a trial needs a recent probe like every other request; the request that would have been the trial goes elsewhere meanwhile. The choice of trials, written twice, shares the scheduling of the next one.

The test fails without the change (36 requests in a second).

--- a/src/steer/balance_pool.cc
+++ b/src/steer/balance_pool.cc
@@ -131,17 +131,19 @@
   // Lowest-cost members of the own region [0] and of all other regions [1].
   std::array<Backend*, 2> best = {nullptr, nullptr};
   std::array<double, 2> cost = {0, 0};
+  BackendId unchecked_trial;
   for (const Member& member : members_) {
     Backend& backend = At(member.backend);
     if (!CanPlace(now, member, request)) {
       continue;
     }
     if (IsTrialDue(now, backend, request)) {
-      backend.next_trial = now + backend.trial_wait;
-      backend.trial_wait =
-          std::min(backend.trial_wait * 2, tuning_->trial_interval * 8);
-      backend.shared_rate.OnStart(now);
-      return {.backend = backend.id, .trial = true};
+      if (CheckState(now, backend) == BackendCheck::State::kCurrent) {
+        OnTrialStart(now, &backend);
+        backend.shared_rate.OnStart(now);
+        return {.backend = backend.id, .trial = true};
+      }
+      unchecked_trial = backend.id;
     }
     if (backend.suspect || backend.IsEjected()) {
       continue;
@@ -161,7 +163,11 @@
       cost[remote] = candidate_cost;
     }
   }
-  return ChooseBetweenRegions(now, order.remote_home(), best, cost);
+  Choice choice = ChooseBetweenRegions(now, order.remote_home(), best, cost);
+  if (!choice.needs_check.IsValid()) {
+    choice.needs_check = unchecked_trial;
+  }
+  return choice;
 }
 
 // Chooses between the lowest-cost members of the own region and of the others.
@@ -199,9 +205,7 @@
       continue;
     }
     if (IsTrialDue(now, backend, request) && HasFreeSlot(member, request)) {
-      backend.next_trial = now + backend.trial_wait;
-      backend.trial_wait =
-          std::min(backend.trial_wait * 2, tuning_->trial_interval * 8);
+      OnTrialStart(now, &backend);
       return {.backend = backend.id, .trial = true};
     }
     const bool trial_only = backend.suspect || backend.IsEjected();
@@ -335,6 +339,12 @@
          (load.long_in_flight + 1) * peer_rank_.count <= spare_slots;
 }
 
+void ServicePool::OnTrialStart(TimePoint now, Backend* backend) const {
+  backend->next_trial = now + backend->trial_wait;
+  backend->trial_wait =
+      std::min(backend->trial_wait * 2, tuning_->trial_interval * 8);
+}
+
 bool ServicePool::IsTrialDue(TimePoint now,
                              const Backend& backend,
                              const ChoiceRequest& request) const {
--- a/src/steer/balance_pool.h
+++ b/src/steer/balance_pool.h
@@ -54,7 +54,8 @@
   // The backend server is suspect or ejected and the request tests whether it
   // has recovered.
   bool trial = false;
-  // Without a backend server: the one that is chosen once it has been probed.
+  // A backend server that has to be probed before it gets a request. Without
+  // `backend`, it is the one that will be chosen.
   BackendId needs_check;
 };
 
@@ -140,6 +141,8 @@
   bool LongWorkFits(const Member& member, const ChoiceRequest& request) const;
   // True when the request may be sent to a suspect or ejected backend server as
   // a trial now.
+  // Schedules the next trial.
+  void OnTrialStart(TimePoint now, Backend* backend) const;
   bool IsTrialDue(TimePoint now,
                   const Backend& backend,
                   const ChoiceRequest& request) const;
--- a/src/steer/dispatch_admit.cc
+++ b/src/steer/dispatch_admit.cc
@@ -203,8 +203,8 @@
                                   RequestHandle handle) {
   Request* request = requests_.Find(handle);
   const Choice choice = ChooseBackend(now, service, *request);
+  RequestCheck(now, choice.needs_check);
   if (!choice.backend.IsValid()) {
-    RequestCheck(now, choice.needs_check);
     return false;
   }
   request->queued = false;
--- a/tests/backend_check_test.cc
+++ b/tests/backend_check_test.cc
@@ -37,6 +37,21 @@
   }
 }
 
+TEST_CASE(
+    "a suspect backend server that returns cold is not flooded by trials") {
+  BackendFleet fleet({.nodes = 33,
+                      .request_interval = milliseconds(5),
+                      .cold_rate = kColdRate});
+  fleet.Run(seconds(1));
+  fleet.RefuseConnections(true);
+  fleet.Run(milliseconds(500));
+  fleet.SetUncertain(true);
+  fleet.RefuseConnections(false);
+  fleet.TurnCold();
+  fleet.Run(BackendFleet::kColdTime);
+  CHECK(fleet.ArrivalsWhileCold() <= 1.5 * kColdRate + 5);
+}
+
 TEST_CASE("a backend server whose state is certain is not probed") {
   BackendFleet fleet({});
   const TimePoint start = fleet.now();
