Don't send on the requests of callers that have left

Cause: a node that is short of processor time reads a request late, together with the end of its connection, or learns of that end only after other events of the same turn of the loop. It sent the request first and read the end later.

Ruled out: requests that wait in the queue, which end with their latest start.

Change: before an attempt is started, and once more when its new connection is established, the node asks the caller's socket whether the other end has closed. The attempt then ends as cancelled before its start.

Both tests fail without the change: the request runs though its caller had closed the connection before the gateway read it.

--- a/src/edge/attempt.cc
+++ b/src/edge/attempt.cc
@@ -100,6 +100,11 @@
   delegate_->OnAttemptReport(this, report);
 }
 
+bool Attempt::IsStillWanted() {
+  cancelling_ = cancelling_ || !delegate_->IsCallerWaiting(this);
+  return !cancelling_;
+}
+
 void Attempt::OnFirstByteWritten() {
   written_ = true;
   ReportOnce(AttemptEvent::kWritten);
--- a/src/edge/attempt.h
+++ b/src/edge/attempt.h
@@ -30,6 +30,8 @@
   // An event of the attempt, for the dispatcher.
   virtual void OnAttemptReport(Attempt* attempt,
                                const steer::AttemptReport& report) = 0;
+  // Whether the caller still waits for the answer.
+  virtual bool IsCallerWaiting(const Attempt* attempt) = 0;
   // All written request bytes were sent; more may be written.
   virtual void OnAttemptFlushed(Attempt* attempt) = 0;
   // Sends a cancellation request for the attempt to its backend server. The
@@ -86,6 +88,7 @@
   bool finished() const { return finished_; }
   bool head_arrived() const { return head_arrived_; }
 
+  bool IsStillWanted() override;
   void OnFirstByteWritten() override;
   void OnWriteFlushed() override;
   bool IsMatchingAnswer(const AnswerHead& head) override;
--- a/src/edge/caller_connection.cc
+++ b/src/edge/caller_connection.cc
@@ -1,6 +1,7 @@
 #include "src/edge/caller_connection.h"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -298,6 +299,18 @@
   delegate_->OnCallerClosed(this);
 }
 
+bool CallerConnection::CloseIfCallerLeft() {
+  if (state_ != State::kOpen || parsing_) {
+    return state_ == State::kClosed;
+  }
+  pollfd socket = {.fd = bufferevent_getfd(bev_), .events = POLLRDHUP};
+  if (poll(&socket, 1, 0) <= 0) {
+    return false;
+  }
+  Close();
+  return true;
+}
+
 void CallerConnection::PauseReading() {
   if (!reading_paused_ && bev_) {
     reading_paused_ = true;
--- a/src/edge/caller_connection.h
+++ b/src/edge/caller_connection.h
@@ -114,6 +114,10 @@
   // for a complete one.
   void Abort();
 
+  // Closes the connection if the caller has closed or reset its end, which this
+  // process may not have read yet. Returns whether the connection is closed.
+  bool CloseIfCallerLeft();
+
   // Flow control: stops and resumes reading from the socket.
   void PauseReading();
   void ResumeReading();
--- a/src/edge/http_connection.cc
+++ b/src/edge/http_connection.cc
@@ -163,6 +163,10 @@
 void HttpConnection::OnEvent(short events) {
   if (events & BEV_EVENT_CONNECTED) {
     state_ = State::kOpen;
+    if (exchange_ && !exchange_->IsStillWanted()) {
+      Close();
+      return;
+    }
     const int on = 1;
     const int fd = bufferevent_getfd(bev_);
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
--- a/src/edge/http_connection.h
+++ b/src/edge/http_connection.h
@@ -33,6 +33,9 @@
 class Exchange {
  public:
   virtual ~Exchange() = default;
+  // Asked when the connection has been established, before the request is sent.
+  // If not, the connection is closed.
+  virtual bool IsStillWanted() { return true; }
   // The first byte of the request was written to the connected socket.
   virtual void OnFirstByteWritten() = 0;
   // The output buffer is empty; more may be written.
--- a/src/edge/relay.cc
+++ b/src/edge/relay.cc
@@ -41,6 +41,10 @@
   }
 }
 
+bool Relay::AbortIfCallerLeft() {
+  return !connection_ || connection_->CloseIfCallerLeft();
+}
+
 void Relay::RefuseAfterBody(const Refusal& refusal) {
   refusal_ = refusal;
   if (refusal.fault != Fault::kCount) {
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -58,6 +58,9 @@
 
   // Closes the caller's connection after the answer.
   void CloseAfterAnswer();
+  // Gives up the request if the caller has left, which this process may not
+  // have read yet. Returns whether it has left.
+  bool AbortIfCallerLeft();
 
   // Refuses the request once its body has arrived.
   void RefuseAfterBody(const Refusal& refusal);
--- a/src/edge/server_actions.cc
+++ b/src/edge/server_actions.cc
@@ -69,6 +69,12 @@
 void Server::Impl::OnStartAttempt(const steer::Action& action) {
   Relay* relay = FindRelay(action.request);
   const TimePoint now = clock_->Now();
+  if (relay && relay->AbortIfCallerLeft()) {
+    dispatcher_->OnAttempt(
+        now, action.attempt,
+        {.event = steer::AttemptEvent::kCancelledBeforeStart});
+    return;
+  }
   AttemptInfo info;
   info.name = attempt_prefix_ + std::to_string(action.attempt.value);
   info.backend_name = backend_pool_.NameOf(action.backend);
@@ -256,6 +262,11 @@
   }
 }
 
+bool Server::Impl::IsCallerWaiting(const Attempt* attempt) {
+  Relay* relay = FindRelay(attempt->identity().request);
+  return relay && !relay->AbortIfCallerLeft();
+}
+
 void Server::Impl::OnAttemptFlushed(Attempt* attempt) {
   if (Relay* relay = FindRelay(attempt->identity().request)) {
     relay->OnAttemptFlushed();
--- a/src/edge/server_impl.h
+++ b/src/edge/server_impl.h
@@ -66,6 +66,7 @@
   // AttemptDelegate:
   void OnAttemptReport(Attempt* attempt,
                        const steer::AttemptReport& report) override;
+  bool IsCallerWaiting(const Attempt* attempt) override;
   void OnAttemptFlushed(Attempt* attempt) override;
   void SendCancel(Attempt* attempt) override;
   void OnUnresponsive(const HttpConnection* connection) override;
--- a/tests/edge_test.cc
+++ b/tests/edge_test.cc
@@ -1,10 +1,14 @@
 #include <doctest/doctest.h>
 
+#include <event2/buffer.h>
+
 #include <algorithm>
+#include <chrono>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "src/edge/http_connection.h"
 #include "tests/support/edge_fixture.h"
 
 namespace comfreystand::testing {
@@ -259,6 +263,49 @@
   CHECK(fixture.RunUntilIdle());
 }
 
+// An exchange whose request is no longer wanted once it could be sent.
+class UnwantedExchange final : public edge::Exchange,
+                               public edge::HttpConnectionDelegate {
+ public:
+  bool IsStillWanted() override { return false; }
+  void OnFirstByteWritten() override {}
+  void OnAnswerHead(edge::AnswerHead head) override {}
+  void OnAnswerBody(const char* data, size_t size) override {}
+  void OnAnswerComplete() override {}
+  void OnExchangeFailed(edge::ExchangeFailure failure, bool sent) override {
+    ended = true;
+    written = sent;
+  }
+  void OnConnected(edge::HttpConnection* connection) override {}
+  void OnIdle(edge::HttpConnection* connection) override {}
+  void OnClosed(edge::HttpConnection* connection,
+                edge::ExchangeFailure failure) override {}
+
+  bool ended = false;
+  bool written = false;
+};
+
+TEST_CASE("a request of a caller that left while connecting is not sent") {
+  EdgeFixture fixture;
+  sockaddr_in address;
+  REQUIRE(edge::ParseAddress(fixture.backend(0).address(), &address));
+  UnwantedExchange exchange;
+  edge::HttpConnection connection(fixture.base.get(), address,
+                                  {.connect = std::chrono::seconds(5),
+                                   .progress = std::chrono::seconds(5),
+                                   .unacknowledged = std::chrono::seconds(5)},
+                                  &exchange);
+  REQUIRE(connection.Connect());
+  const auto request = NewBuffer();
+  evbuffer_add_printf(request.get(), "GET /a HTTP/1.1\r\nHost: b\r\n\r\n");
+  connection.Start(&exchange, request.get(), false);
+  CHECK(fixture.RunUntil([&] { return exchange.ended; }));
+  CHECK_FALSE(exchange.written);
+  CHECK(fixture.RunUntil(
+      [&] { return fixture.backend(0).counts().connections == 1; }));
+  CHECK(fixture.backend(0).counts().requests == 0);
+}
+
 TEST_CASE("hedged request") {
   EdgeFixture fixture(2);
   fixture.dispatcher.hedge = true;
--- a/tests/gateway_path_test.cc
+++ b/tests/gateway_path_test.cc
@@ -250,6 +250,20 @@
   }));
 }
 
+TEST_CASE("a request of a caller that has left is not sent on") {
+  GatewayFixture fixture(1);
+  REQUIRE(fixture.WaitUntilReady());
+  SUBCASE("over a new connection") {}
+  SUBCASE("over a kept connection") {
+    fixture.SendAndWait(GatewayRequest("GET", "/look/x", "r1"));
+  }
+  // The request is read together with the end of the connection.
+  fixture.SendAndCloseAtOnce(GatewayRequest("GET", "/look/x", "left"));
+  fixture.SendAndWait(GatewayRequest("GET", "/look/x", "r2"));
+  CHECK(fixture.CountRuns("r2") == 1);
+  CHECK(fixture.CountRuns("left") == 0);
+}
+
 TEST_CASE("changes of the backend servers") {
   GatewayFixture fixture;
   REQUIRE(fixture.WaitUntilReady());
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -1,6 +1,10 @@
 #ifndef COMFREYSTAND_TESTS_SUPPORT_GATEWAY_FIXTURE_H_
 #define COMFREYSTAND_TESTS_SUPPORT_GATEWAY_FIXTURE_H_
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <functional>
 #include <memory>
 #include <string>
@@ -9,6 +13,7 @@
 #include "comfreystand/event_loop.h"
 #include "comfreystand/http_client.h"
 #include "comfreystand/platform_gateway.h"
+#include "src/edge/http_connection.h"
 #include "standins/free_address.h"
 #include "standins/instance.h"
 #include "standins/run_until.h"
@@ -123,6 +128,17 @@
     return caller;
   }
 
+  // Sends `bytes` on a connection of its own and closes it before the gateway
+  // runs again.
+  void SendAndCloseAtOnce(const std::string& bytes) {
+    sockaddr_in address = {};
+    edge::ParseAddress(settings.traffic_address.text, &address);
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    send(fd, bytes.data(), bytes.size(), 0);
+    close(fd);
+  }
+
   // Sends a request and waits for its answer or the end of the connection.
   std::unique_ptr<RawCaller> SendAndWait(const std::string& bytes) {
     auto caller = OpenCaller(bytes);
