Refuse at once what no rate allows in time

Callers: a request whose preferred backend servers have all named limits, or are cold, waited for half of its goal before it was refused, although no backend server could take another request in that time.

Cause: the latest start was the only bound of the wait; the rates know when they allow the next request.

Change: SharedRate tells the time of the next start, the choice passes on the earliest one among the preferred backend servers, and a request whose latest start is earlier is refused at once. One that waits for room or a probe waits as before.

The test fails without the change: all 31,600 refused requests in virtual time waited beyond an eighth of the goal.

--- a/src/steer/balance_pool.cc
+++ b/src/steer/balance_pool.cc
@@ -53,28 +53,41 @@
          (region.IsValid() && (request.regions >> region.value & 1) != 0);
 }
 
+bool ServicePool::MayServe(TimePoint now,
+                           const Member& member,
+                           const ChoiceRequest& request) const {
+  const Backend& backend = At(member.backend);
+  return backend.state == BackendState::kLive && !backend.suspended &&
+         !Contains(request.exclude, backend.id) &&
+         IsRegionAllowed(member, request);
+}
+
+TimePoint ServicePool::NextStart(TimePoint now, const Backend& backend) {
+  TimePoint next = now;
+  if (now < backend.cold_until) {
+    next = std::min(backend.cold_until,
+                    backend.shared_rate.NextColdStart(backend.cold_rate));
+  }
+  if (backend.IsLimited()) {
+    next =
+        std::max(next, backend.shared_rate.NextLimitedStart(backend.max_rate));
+  }
+  return next;
+}
+
 // True when a request that is placed by its object may be sent to the member
 // now.
 bool ServicePool::CanPlace(TimePoint now,
                            const Member& member,
                            const ChoiceRequest& request) const {
   const Backend& backend = At(member.backend);
-  if (backend.state != BackendState::kLive || backend.suspended ||
-      now < backend.refused_until || Contains(request.exclude, backend.id) ||
-      CheckState(now, backend) == BackendCheck::State::kFailed) {
-    return false;
-  }
-  if (!IsRegionAllowed(member, request)) {
+  if (!MayServe(now, member, request) || now < backend.refused_until ||
+      CheckState(now, backend) == BackendCheck::State::kFailed ||
+      NextStart(now, backend) > now) {
     return false;
   }
-  if (now < backend.cold_until) {
-    if (backend.in_flight >= backend.slots ||
-        !backend.shared_rate.MayStartCold(now, backend.cold_rate)) {
-      return false;
-    }
-  }
-  if (backend.IsLimited() &&
-      !backend.shared_rate.MayStartLimited(now, backend.max_rate)) {
+  const bool cold = now < backend.cold_until;
+  if (cold && backend.in_flight >= backend.slots) {
     return false;
   }
   return backend.in_flight + backend.ExpectedPeerRequests(now) <
@@ -132,8 +145,14 @@
   std::array<Backend*, 2> best = {nullptr, nullptr};
   std::array<double, 2> cost = {0, 0};
   BackendId unchecked_trial;
+  TimePoint next_start = TimePoint::max();
   for (const Member& member : members_) {
     Backend& backend = At(member.backend);
+    const bool preferred = request.work.object == 0 ||
+                           order.RankOf(backend.key) != PlacementOrder::kRanks;
+    if (preferred && MayServe(now, member, request)) {
+      next_start = std::min(next_start, NextStart(now, backend));
+    }
     if (!CanPlace(now, member, request)) {
       continue;
     }
@@ -150,8 +169,7 @@
     }
     // Work on an object outside its preferred backend servers takes long and
     // evicts other objects there.
-    if (request.work.object != 0 &&
-        order.RankOf(backend.key) == PlacementOrder::kRanks) {
+    if (!preferred) {
       continue;
     }
     const bool remote =
@@ -167,6 +185,7 @@
   if (!choice.needs_check.IsValid()) {
     choice.needs_check = unchecked_trial;
   }
+  choice.next_start = next_start;
   return choice;
 }
 
--- a/src/steer/balance_pool.h
+++ b/src/steer/balance_pool.h
@@ -57,6 +57,9 @@
   // A backend server that has to be probed before it gets a request. Without
   // `backend`, it is the one that will be chosen.
   BackendId needs_check;
+  // Without `backend`: the earliest time at which the rates of the preferred
+  // backend servers allow another request. TimePoint::max() without any.
+  TimePoint next_start = TimePoint::max();
 };
 
 // Balances the requests of one service over its backend servers, for one node.
@@ -169,6 +172,13 @@
   bool CanPlace(TimePoint now,
                 const Member& member,
                 const ChoiceRequest& request) const;
+  // True when the member may serve the request once it has room and its rates
+  // allow it.
+  bool MayServe(TimePoint now,
+                const Member& member,
+                const ChoiceRequest& request) const;
+  // Time from which the rates of a backend server allow another request.
+  static TimePoint NextStart(TimePoint now, const Backend& backend);
   // State of the last probe; current when no probe is needed.
   BackendCheck::State CheckState(TimePoint now, const Backend& backend) const;
   double MedianSlowness(TimePoint now);
--- a/src/steer/dispatch_admit.cc
+++ b/src/steer/dispatch_admit.cc
@@ -192,6 +192,7 @@
       queue.OnServed(next.entry);
     } else {
       queue.Restore(next.entry);
+      RejectIfTooLate(now, next.entry.request);
     }
   }
 }
@@ -205,6 +206,7 @@
   const Choice choice = ChooseBackend(now, service, *request);
   RequestCheck(now, choice.needs_check);
   if (!choice.backend.IsValid()) {
+    request->next_start = choice.next_start;
     return false;
   }
   request->queued = false;
@@ -213,6 +215,18 @@
   return true;
 }
 
+// Rejects a queued request at once when no backend server may serve it before
+// its latest start.
+void DispatcherCore::RejectIfTooLate(TimePoint now, RequestHandle handle) {
+  Request* request = requests_.Find(handle);
+  if (request->next_start <= request->latest_start) {
+    return;
+  }
+  ++stats_.shed;
+  Reject(handle, request, RejectReason::kOverloaded,
+         RetryAfter(request->traits.service, request->lane));
+}
+
 void DispatcherCore::RequestCheck(TimePoint now, BackendId id) {
   if (!id.IsValid()) {
     return;
--- a/src/steer/dispatch_core.h
+++ b/src/steer/dispatch_core.h
@@ -66,6 +66,8 @@
     std::array<AttemptHandle, kMaxTrackedAttempts> open_handles;
     std::array<BackendId, kMaxTrackedAttempts> tried_backends;
     TimePoint latest_start;
+    // While it is queued: as in Choice.
+    TimePoint next_start;
     TimePoint hedge_at = TimePoint::max();
     TimePoint timer_at = TimePoint::max();
   };
@@ -118,6 +120,7 @@
   struct WaitingRequest;
   void StartQueuedByPlacement(TimePoint now, Service* service);
   bool StartRequest(TimePoint now, Service* service, RequestHandle handle);
+  void RejectIfTooLate(TimePoint now, RequestHandle handle);
   // Probes a backend server unless a probe is under way.
   void RequestCheck(TimePoint now, BackendId backend);
   Choice ChooseBackend(TimePoint now, Service* service, const Request& request);
--- a/src/steer/shared_rate.cc
+++ b/src/steer/shared_rate.cc
@@ -30,30 +30,29 @@
             static_cast<double>(std::numeric_limits<uint64_t>::max());
 }
 
-bool SharedRate::MayStartCold(TimePoint now, double rate) const {
-  return rank_ == 0U && MayStart(now, rate);
+TimePoint SharedRate::NextColdStart(double rate) const {
+  return rank_ == 0U ? NextStart(rate) : TimePoint::max();
 }
 
-bool SharedRate::MayStartLimited(TimePoint now, double rate) const {
+TimePoint SharedRate::NextLimitedStart(double rate) const {
   const double applied = std::max(rate, kMinRate);
   const size_t senders =
       std::min(nodes_, kMinSenders + static_cast<size_t>(applied));
   if (rank_ && *rank_ < senders) {
-    return MayStart(now, applied / static_cast<double>(senders));
+    return NextStart(applied / static_cast<double>(senders));
   }
   const auto others =
       static_cast<double>(std::max<size_t>(1, nodes_ - senders));
   // Spread over time, since all nodes learn of a limit at about the same time.
-  return MayStart(now, applied * kTrialShare / (others * (0.5 + jitter_)));
+  return NextStart(applied * kTrialShare / (others * (0.5 + jitter_)));
 }
 
-bool SharedRate::MayStart(TimePoint now, double rate) const {
+TimePoint SharedRate::NextStart(double rate) const {
   if (rate <= 0) {
-    return false;
+    return TimePoint::max();
   }
   constexpr double kMicrosPerSecond = 1e6;
-  const Duration gap(static_cast<int64_t>(kMicrosPerSecond / rate));
-  return now - last_start_ >= gap;
+  return last_start_ + Duration(static_cast<int64_t>(kMicrosPerSecond / rate));
 }
 
 }  // namespace comfreystand::steer
--- a/src/steer/shared_rate.h
+++ b/src/steer/shared_rate.h
@@ -20,20 +20,28 @@
   // Sets the rank of this node among all live ones.
   void SetNodes(uint64_t backend_key, const PeerNodes& nodes);
 
-  // True when this node may send a request to a cold backend server, which
-  // takes `rate` requests per second. Only the first node does.
-  bool MayStartCold(TimePoint now, double rate) const;
-
-  // True when this node may send a request to a backend server that has named a
-  // limit of `rate` requests per second. A node that has no share of the rate
-  // sends a request now and then, to learn whether the limit still holds.
-  bool MayStartLimited(TimePoint now, double rate) const;
+  // Time from which this node may send a request to a cold backend server,
+  // which takes `rate` requests per second; TimePoint::max() when it may not.
+  // Only the first node does.
+  TimePoint NextColdStart(double rate) const;
+  bool MayStartCold(TimePoint now, double rate) const {
+    return now >= NextColdStart(rate);
+  }
+
+  // Time from which this node may send a request to a backend server that has
+  // named a limit of `rate` requests per second. A node that has no share of
+  // the rate sends a request now and then, to learn whether the limit still
+  // holds.
+  TimePoint NextLimitedStart(double rate) const;
+  bool MayStartLimited(TimePoint now, double rate) const {
+    return now >= NextLimitedStart(rate);
+  }
 
   // Records a started request.
   void OnStart(TimePoint now) { last_start_ = now; }
 
  private:
-  bool MayStart(TimePoint now, double rate) const;
+  TimePoint NextStart(double rate) const;
 
   // Not set on a node without a share.
   std::optional<size_t> rank_ = 0;
--- a/tests/named_limit_test.cc
+++ b/tests/named_limit_test.cc
@@ -1,6 +1,8 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <chrono>
+#include <cstddef>
 
 #include "tests/support/backend_fleet.h"
 
@@ -66,5 +68,22 @@
   }
 }
 
+TEST_CASE("a request beyond a named limit is refused at once") {
+  BackendFleet fleet({.request_interval = milliseconds(5)});
+  fleet.NameLimit(2);
+  fleet.Run(seconds(3));
+  const size_t before = fleet.refusal_delays().size();
+  const TimePoint start = fleet.now();
+  fleet.Run(seconds(20));
+  const auto late = std::count_if(
+      fleet.refusal_delays().begin() + before, fleet.refusal_delays().end(),
+      [](Duration delay) { return delay > BackendFleet::kGoal / 8; });
+  const auto refused = fleet.refusal_delays().size() - before;
+  CHECK(refused > 3'500);
+  // Only requests that the limit could still allow in time may have waited.
+  CHECK(late * 8 < static_cast<std::ptrdiff_t>(refused));
+  CHECK(fleet.ArrivalsSince(start) >= 32);
+}
+
 }  // namespace
 }  // namespace comfreystand::steer
--- a/tests/support/backend_fleet.h
+++ b/tests/support/backend_fleet.h
@@ -4,8 +4,10 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <queue>
+#include <utility>
 #include <vector>
 
 #include "comfreystand/steer/dispatch.h"
@@ -25,6 +27,8 @@
 class BackendFleet {
  public:
   static constexpr Duration kColdTime = std::chrono::seconds(3);
+  // Goal of each request.
+  static constexpr Duration kGoal = std::chrono::milliseconds(400);
 
   explicit BackendFleet(const BackendFleetInit& init) : init_(init) {
     for (int i = 0; i < init.nodes; ++i) {
@@ -67,6 +71,10 @@
 
   TimePoint now() const { return now_; }
   int probes() const { return probes_; }
+  // For each refused request, the time for which it waited.
+  const std::vector<Duration>& refusal_delays() const {
+    return refusal_delays_;
+  }
   int ArrivalsSince(TimePoint start) const { return CountBetween(start, now_); }
   int ArrivalsWhileCold() const {
     return MostInWindow(std::chrono::seconds(1), cold_until_ - kColdTime);
@@ -129,11 +137,13 @@
   }
 
   void Submit(int node) {
-    nodes_[node]->Submit(now_, {.service = kService,
-                                .idempotent = true,
-                                .arrival = now_,
-                                .deadline = now_ + std::chrono::seconds(2),
-                                .goal = std::chrono::milliseconds(400)});
+    const RequestHandle handle =
+        nodes_[node]->Submit(now_, {.service = kService,
+                                    .idempotent = true,
+                                    .arrival = now_,
+                                    .deadline = now_ + std::chrono::seconds(2),
+                                    .goal = kGoal});
+    submitted_at_[{node, handle.value}] = now_;
     HandleActions(node);
   }
 
@@ -145,6 +155,9 @@
         After(kRoundTrip, [this, node] { AnswerProbe(node); });
       } else if (action.type == ActionType::kStartAttempt) {
         StartAttempt(node, action.attempt);
+      } else if (action.type == ActionType::kReject) {
+        refusal_delays_.push_back(
+            now_ - submitted_at_.at({node, action.request.value}));
       }
     }
   }
@@ -215,6 +228,8 @@
   bool refuses_connections_ = false;
   std::vector<std::unique_ptr<Dispatcher>> nodes_;
   std::vector<TimePoint> arrivals_;
+  std::map<std::pair<int, uint32_t>, TimePoint> submitted_at_;
+  std::vector<Duration> refusal_delays_;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
 };
 
