--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs every test binary of a build variant and sums up the results.
-# Test cases named in KNOWN-RED.txt run last, on their own, and do not count.
+# Test cases named in KNOWN-RED.txt are left out and printed at the end.
 set -u
 cd "$(dirname "$0")/.."
 variant=${1:-release}
