Move the gateway's metrics out of gateway.cc; one way to register in tests

Names, help texts and kinds are as before. Tests that register a backend server behind another address, or wait for it, share the fixture's functions instead of writing the entry by hand.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -231,7 +231,10 @@
     if (!settings_.metrics_address.IsSet()) {
       return true;
     }
-    AddGatewayMetrics();
+    for (admin::MetricSource& source :
+         GatewayMetricSources([this] { return GetStats(); }, *dispatcher_)) {
+      AddMetric(std::move(source));
+    }
     metrics_server_ = admin::MetricsServer::Create(
         loop_->base(), settings_.metrics_address.text,
         {metrics_.registry(),
@@ -240,55 +243,6 @@
     return metrics_server_ != nullptr;
   }
 
-  void AddGatewayMetrics() {
-    const auto gauge = [this](const char* name, const char* help,
-                              std::function<double()> read) {
-      AddMetric({.name = name,
-                 .help = help,
-                 .is_counter = false,
-                 .read = std::move(read)});
-    };
-    const auto counter = [this](const char* name, const char* help,
-                                uint64_t steer::DispatcherStats::*member) {
-      AddMetric({.name = name, .help = help, .read = [this, member] {
-                   return static_cast<double>(dispatcher_->Stats().*member);
-                 }});
-    };
-    gauge("comfreystand_config_version", "Configuration in force.",
-          [this] { return GetStats().version.value; });
-    gauge("comfreystand_backends_ready", "Backend servers that take requests.",
-          [this] { return GetStats().backends_ready; });
-    gauge("comfreystand_backends_draining", "Backend servers that drain.",
-          [this] { return GetStats().backends_draining; });
-    gauge("comfreystand_domains_evacuated", "Failure domains evacuated.",
-          [this] { return GetStats().domains_evacuated; });
-    gauge("comfreystand_nodes", "Nodes registered.",
-          [this] { return GetStats().nodes; });
-    gauge("comfreystand_ready", "Whether callers are sent here.",
-          [this] { return GetStats().ready ? 1 : 0; });
-    gauge("comfreystand_store_lost", "Whether the store does not answer.",
-          [this] { return GetStats().store_lost ? 1 : 0; });
-    gauge("comfreystand_store_readable",
-          "Whether the store's entries are read, directly or from a node.",
-          [this] { return GetStats().store_readable ? 1 : 0; });
-    gauge("comfreystand_backends_limited",
-          "Backend servers that have named a limit.",
-          [this] { return dispatcher_->Stats().limited_backends; });
-    gauge("comfreystand_queued_requests", "Requests that wait for a slot.",
-          [this] { return dispatcher_->Stats().queued; });
-    using Stats = steer::DispatcherStats;
-    counter("comfreystand_attempts_total", "Attempts started.",
-            &Stats::attempts);
-    counter("comfreystand_resends_total", "Requests sent again.",
-            &Stats::resends);
-    counter("comfreystand_resends_denied_total",
-            "Resends that the budget did not allow.", &Stats::resends_denied);
-    counter("comfreystand_health_checks_total",
-            "Backend servers asked for their state.", &Stats::probes);
-    counter("comfreystand_shed_total", "Requests refused for want of slots.",
-            &Stats::shed);
-  }
-
   void AssignDomainIds() {
     // RegionsOf() returns a 64-bit mask, whose highest bit means no region.
     constexpr size_t kMaxRegions = 63;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <string_view>
+#include <utility>
 
 namespace comfreystand::gateway {
 namespace {
@@ -18,6 +19,73 @@
 constexpr std::array<std::string_view, 4> kOutcomeLabels = {
     "answered", "refused", "cut_off", "caller_left"};
 
+// Metrics of GatewayStats.
+struct StateMetric {
+  const char* name;
+  const char* help;
+  double (*read)(const GatewayStats& stats);
+};
+
+constexpr StateMetric kStateMetrics[] = {
+    {"comfreystand_config_version", "Configuration in force.",
+     [](const GatewayStats& stats) -> double { return stats.version.value; }},
+    {"comfreystand_backends_ready", "Backend servers that take requests.",
+     [](const GatewayStats& stats) -> double { return stats.backends_ready; }},
+    {"comfreystand_backends_draining", "Backend servers that drain.",
+     [](const GatewayStats& stats) -> double {
+       return stats.backends_draining;
+     }},
+    {"comfreystand_domains_evacuated", "Failure domains evacuated.",
+     [](const GatewayStats& stats) -> double {
+       return stats.domains_evacuated;
+     }},
+    {"comfreystand_nodes", "Nodes registered.",
+     [](const GatewayStats& stats) -> double { return stats.nodes; }},
+    {"comfreystand_ready", "Whether callers are sent here.",
+     [](const GatewayStats& stats) -> double { return stats.ready; }},
+    {"comfreystand_store_lost", "Whether the store does not answer.",
+     [](const GatewayStats& stats) -> double { return stats.store_lost; }},
+    {"comfreystand_store_readable",
+     "Whether the store's entries are read, directly or from a node.",
+     [](const GatewayStats& stats) -> double { return stats.store_readable; }},
+};
+
+// Metrics of steer::DispatcherStats that can fall.
+struct LevelMetric {
+  const char* name;
+  const char* help;
+  uint32_t steer::DispatcherStats::*member;
+};
+
+constexpr LevelMetric kLevelMetrics[] = {
+    {"comfreystand_backends_limited",
+     "Backend servers that have named a limit.",
+     &steer::DispatcherStats::limited_backends},
+    {"comfreystand_queued_requests", "Requests that wait for a slot.",
+     &steer::DispatcherStats::queued},
+};
+
+// Metrics of steer::DispatcherStats that only rise.
+struct CounterMetric {
+  const char* name;
+  const char* help;
+  uint64_t steer::DispatcherStats::*member;
+};
+
+constexpr CounterMetric kCounterMetrics[] = {
+    {"comfreystand_attempts_total", "Attempts started.",
+     &steer::DispatcherStats::attempts},
+    {"comfreystand_resends_total", "Requests sent again.",
+     &steer::DispatcherStats::resends},
+    {"comfreystand_resends_denied_total",
+     "Resends that the budget did not allow.",
+     &steer::DispatcherStats::resends_denied},
+    {"comfreystand_health_checks_total",
+     "Backend servers asked for their state.", &steer::DispatcherStats::probes},
+    {"comfreystand_shed_total", "Requests refused for want of slots.",
+     &steer::DispatcherStats::shed},
+};
+
 double ToSeconds(Duration duration) {
   return static_cast<double>(duration.count()) / 1e6;
 }
@@ -71,4 +139,34 @@
   }
 }
 
+std::vector<admin::MetricSource> GatewayMetricSources(
+    std::function<GatewayStats()> get_stats,
+    const steer::Dispatcher& dispatcher) {
+  std::vector<admin::MetricSource> sources;
+  for (const StateMetric& metric : kStateMetrics) {
+    sources.push_back({.name = metric.name,
+                       .help = metric.help,
+                       .is_counter = false,
+                       .read = [get_stats, read = metric.read] {
+                         return read(get_stats());
+                       }});
+  }
+  for (const LevelMetric& metric : kLevelMetrics) {
+    sources.push_back({.name = metric.name,
+                       .help = metric.help,
+                       .is_counter = false,
+                       .read = [&dispatcher, member = metric.member] {
+                         return dispatcher.Stats().*member;
+                       }});
+  }
+  for (const CounterMetric& metric : kCounterMetrics) {
+    sources.push_back({.name = metric.name,
+                       .help = metric.help,
+                       .read = [&dispatcher, member = metric.member] {
+                         return static_cast<double>(dispatcher.Stats().*member);
+                       }});
+  }
+  return sources;
+}
+
 }  // namespace comfreystand::gateway
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -5,11 +5,16 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "comfreystand/edge.h"
+#include "comfreystand/gateway.h"
+#include "comfreystand/steer/dispatch.h"
+#include "src/admin/metric_sources.h"
 
 namespace comfreystand::gateway {
 
@@ -36,6 +41,12 @@
   std::set<std::string> routes_;
 };
 
+// Metrics of the gateway's state and of `dispatcher`, which must exist as long
+// as they are read.
+std::vector<admin::MetricSource> GatewayMetricSources(
+    std::function<GatewayStats()> get_stats,
+    const steer::Dispatcher& dispatcher);
+
 }  // namespace comfreystand::gateway
 
 #endif  // COMFREYSTAND_SRC_GATEWAY_GATEWAY_METRICS_H_
--- a/tests/gateway_cut_test.cc
+++ b/tests/gateway_cut_test.cc
@@ -23,13 +23,8 @@
   GatewayFixture fixture(0);
   standins::Instance server(&fixture.loop, "i-0");
   soak::FaultProxy path(&fixture.loop, server.address());
-  fixture.store.Put("servers/i-0",
-                    R"({"service":"desk","address":")" + path.address() +
-                        R"(","zone":"west-a","capacity":3,"state":"ready",)"
-                        R"("coldLeftMs":0,"sequence":1,"born":1})");
-  REQUIRE(fixture.WaitUntil([&] {
-    return fixture.gateway->gateway().GetStats().backends_ready == 1;
-  }));
+  fixture.RegisterAt("i-0", path.address());
+  REQUIRE(fixture.WaitUntilBackendsReady(1));
   // Leaves an open connection for the next request.
   REQUIRE(fixture.SendAndWait(GatewayRequest("POST", "/book/a", "r1", "", "b"))
               ->LastStatus() == 200);
--- a/tests/gateway_endless_answer_test.cc
+++ b/tests/gateway_endless_answer_test.cc
@@ -78,13 +78,8 @@
     CAPTURE(std::string(c.name));
     GatewayFixture fixture(0);
     EndlessServer server(fixture.loop.base(), c.begin, c.block);
-    fixture.store.Put("servers/i-0",
-                      R"({"service":"desk","address":")" + server.address() +
-                          R"(","zone":"west-a","capacity":3,"state":"ready",)"
-                          R"("coldLeftMs":0,"sequence":1,"born":1})");
-    REQUIRE(fixture.WaitUntil([&] {
-      return fixture.gateway->gateway().GetStats().backends_ready == 1;
-    }));
+    fixture.RegisterAt("i-0", server.address());
+    REQUIRE(fixture.WaitUntilBackendsReady(1));
     const TimePoint begin = fixture.loop.Now();
     const auto caller = fixture.OpenCaller(GatewayRequest(
         "POST", "/book/x", "r1",
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -85,9 +85,17 @@
   }
 
   void Register(const standins::Instance& server, const char* state, int born) {
+    RegisterAt(server.name(), server.address(), state, born);
+  }
+
+  // Registers a backend server that is reached at `address`.
+  void RegisterAt(const std::string& name,
+                  const std::string& address,
+                  const char* state = "ready",
+                  int born = 1) {
     ++sequence;
-    store.Put("servers/" + server.name(),
-              R"({"service":"desk","address":")" + server.address() +
+    store.Put("servers/" + name,
+              R"({"service":"desk","address":")" + address +
                   R"(","zone":"west-a","version":"v1","capacity":3,"state":")" +
                   state + R"(","coldLeftMs":0,"sequence":)" +
                   std::to_string(sequence) +
@@ -103,6 +111,12 @@
     return WaitUntil([this] { return gateway->gateway().Ready(); });
   }
 
+  bool WaitUntilBackendsReady(size_t count) {
+    return WaitUntil([this, count] {
+      return gateway->gateway().GetStats().backends_ready == count;
+    });
+  }
+
   // Sends a GET request and runs the loop until the response arrives.
   http::Response HttpGet(const std::string& address,
                          const std::string& target) {
