--- a/src/steer/balance_pool.cc
+++ b/src/steer/balance_pool.cc
@@ -185,7 +185,7 @@
   if (!choice.needs_check.IsValid()) {
     choice.needs_check = unchecked_trial;
   }
-  choice.next_start = next_start;
+  choice.next_start = next_start == TimePoint::max() ? now : next_start;
   return choice;
 }
 
--- a/src/steer/balance_pool.h
+++ b/src/steer/balance_pool.h
@@ -58,8 +58,9 @@
   // `backend`, it is the one that will be chosen.
   BackendId needs_check;
   // Without `backend`: the earliest time at which the rates of the preferred
-  // backend servers allow another request. TimePoint::max() without any.
-  TimePoint next_start = TimePoint::max();
+  // backend servers allow another request; not later than now when it is
+  // unknown.
+  TimePoint next_start{};
 };
 
 // Balances the requests of one service over its backend servers, for one node.
--- a/tests/named_limit_test.cc
+++ b/tests/named_limit_test.cc
@@ -85,5 +85,19 @@
   CHECK(fleet.ArrivalsSince(start) >= 32);
 }
 
+TEST_CASE("a request waits while it is unknown when it can be served") {
+  BackendFleet fleet({.request_interval = milliseconds(5), .object = 7});
+  fleet.RefuseConnections(true);
+  fleet.Run(seconds(1));
+  const size_t before = fleet.refusal_delays().size();
+  fleet.Run(seconds(1));
+  const auto refused = fleet.refusal_delays().size() - before;
+  const auto early = std::count_if(
+      fleet.refusal_delays().begin() + before, fleet.refusal_delays().end(),
+      [](Duration delay) { return delay < BackendFleet::kGoal / 8; });
+  CHECK(refused > 100);
+  CHECK(early * 8 < static_cast<std::ptrdiff_t>(refused));
+}
+
 }  // namespace
 }  // namespace comfreystand::steer
--- a/tests/support/backend_fleet.h
+++ b/tests/support/backend_fleet.h
@@ -19,6 +19,8 @@
   bool uncertain = false;
   // Time between two requests of callers to the fleet.
   Duration request_interval = std::chrono::milliseconds(70);
+  // Object of all requests; zero for none.
+  uint64_t object = 0;
   // Requests per second that the backend server takes while it is cold.
   double cold_rate = 3.6;
 };
@@ -142,6 +144,7 @@
                                     .idempotent = true,
                                     .arrival = now_,
                                     .deadline = now_ + std::chrono::seconds(2),
+                                    .object = init_.object,
                                     .goal = kGoal});
     submitted_at_[{node, handle.value}] = now_;
     HandleActions(node);
