Count the time of a planned stop from the arrival of its signal

Cause: a node that is short of processor time runs the handler of the signal late, and changes to refusing with its next timer, later again. Both times counted from there: it took requests longer than planned and was killed before its own end of the grace period.

Evidence: SIGTERM at 26.84 s, the request is sent at 30.23 s and passed on at 30.42 s; requests are refused 2.8 s after the stop is noticed.

Change: EventLoop::OnSignal tells when the signal arrived, which is recorded by the signal handler itself. The grace period and the time from which requests are refused count from it, and each request that is read is compared with that time instead of a state that a timer sets. The log tells how late a stop was noticed.

--- a/include/comfreystand/edge.h
+++ b/include/comfreystand/edge.h
@@ -259,6 +259,9 @@
   void SetCallerLimits(const CallerLimits& limits);
 
   void SetDrainState(DrainState state);
+  // Refuses requests that are read from `when` on, as in
+  // DrainState::kRefusing, even if the loop is too busy to change the state.
+  void RefuseFrom(TimePoint when);
 
   // Schedules the dispatcher's pending actions to run on the loop. Call this
   // after changing the dispatcher's state from outside the server.
--- a/include/comfreystand/event_loop.h
+++ b/include/comfreystand/event_loop.h
@@ -31,8 +31,9 @@
   // loop.
   void RunInLoop(std::function<void()> task);
 
-  // Calls `handler` on the loop when the process receives signal `number`.
-  void OnSignal(int number, std::function<void()> handler);
+  // Calls `handler` on the loop after the process has received signal `number`,
+  // with the time at which it arrived. A busy loop runs the handler later.
+  void OnSignal(int number, std::function<void(TimePoint arrived_at)> handler);
 
   // Runs until Stop().
   void Run();
--- a/include/comfreystand/gateway.h
+++ b/include/comfreystand/gateway.h
@@ -163,8 +163,9 @@
   std::vector<std::string> PeerAddresses() const;
 
   // Stops gracefully and calls `done`. The node must have been removed from the
-  // store before.
-  void BeginStop(std::function<void()> done);
+  // store before. The grace period counts from `requested_at`, which a busy
+  // process may learn of late.
+  void BeginStop(TimePoint requested_at, std::function<void()> done);
 
   GatewayStats GetStats() const;
   edge::Stats EdgeStats() const;
--- a/include/comfreystand/platform_gateway.h
+++ b/include/comfreystand/platform_gateway.h
@@ -23,8 +23,8 @@
   bool Start(std::string* error);
 
   // Removes the node from look-ups, completes its requests in flight and calls
-  // `done`.
-  void BeginStop(std::function<void()> done);
+  // `done`. The grace period counts from `requested_at`.
+  void BeginStop(TimePoint requested_at, std::function<void()> done);
 
   gateway::Gateway& gateway();
 
--- a/src/cli/gateway_verb.cc
+++ b/src/cli/gateway_verb.cc
@@ -42,16 +42,20 @@
                      const std::function<void()>& on_reload) {
   auto signal_count = std::make_shared<int>(0);
   for (const int signal_number : {SIGTERM, SIGINT}) {
-    loop->OnSignal(signal_number, [loop, gateway, signal_count] {
-      LogStateChange("gateway", "stopping");
+    loop->OnSignal(signal_number, [loop, gateway,
+                                   signal_count](TimePoint arrived_at) {
+      const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(
+          loop->Now() - arrived_at);
+      LogStateChange("gateway", "stopping",
+                     {{"late_ms", std::to_string(late.count())}});
       if (++*signal_count > 1) {
         loop->Stop();
       } else {
-        gateway->BeginStop([loop] { loop->Stop(); });
+        gateway->BeginStop(arrived_at, [loop] { loop->Stop(); });
       }
     });
   }
-  loop->OnSignal(SIGHUP, on_reload);
+  loop->OnSignal(SIGHUP, [on_reload](TimePoint) { on_reload(); });
   FlushLogPeriodically(loop);
   loop->Run();
 }
--- a/src/cli/node_verb.cc
+++ b/src/cli/node_verb.cc
@@ -22,7 +22,7 @@
 void RunUntilStopped(EventLoop* loop, node::Node* node) {
   auto signal_count = std::make_shared<int>(0);
   for (const int signal_number : {SIGTERM, SIGINT}) {
-    loop->OnSignal(signal_number, [loop, node, signal_count] {
+    loop->OnSignal(signal_number, [loop, node, signal_count](TimePoint) {
       if (++*signal_count > 1)
         loop->Stop();
       else
--- a/src/edge/server.cc
+++ b/src/edge/server.cc
@@ -47,6 +47,9 @@
 void Server::SetDrainState(DrainState state) {
   impl_->SetDrainState(state);
 }
+void Server::RefuseFrom(TimePoint when) {
+  impl_->RefuseFrom(when);
+}
 
 void Server::ScheduleActions() {
   impl_->ScheduleActions();
--- a/src/edge/server_impl.h
+++ b/src/edge/server_impl.h
@@ -49,6 +49,7 @@
                  std::vector<ClassName> classes);
   void SetCallerLimits(const CallerLimits& limits);
   void SetDrainState(DrainState state);
+  void RefuseFrom(TimePoint when) { refuse_from_ = when; }
   void ScheduleActions();
   bool IsIdle() const { return relays_by_handle_.empty(); }
   Caps GetCaps() const;
@@ -132,6 +133,7 @@
   Stats stats_;
   uint16_t port_ = 0;
   DrainState drain_state_ = DrainState::kServing;
+  TimePoint refuse_from_ = TimePoint::max();
   LookupReply lookup_reply_;
   // Random prefix that makes attempt names unique across processes.
   std::string attempt_prefix_;
--- a/src/edge/server_listen.cc
+++ b/src/edge/server_listen.cc
@@ -214,7 +214,7 @@
 
 bool Server::Impl::CheckDrainAndTicket(const RelayRequest& request,
                                        Refusal* refusal) {
-  if (drain_state_ == DrainState::kRefusing) {
+  if (drain_state_ == DrainState::kRefusing || clock_->Now() >= refuse_from_) {
     steer::Action draining;
     draining.reason = steer::RejectReason::kDraining;
     draining.retry_after = std::chrono::seconds(1);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -17,8 +17,8 @@
 constexpr double kUsedRetryBudgetShare = 0.8;
 // Time for which callers cache a look-up answer.
 constexpr std::chrono::milliseconds kLookupAnswerTtl{2'000};
-// Time after the start of a stop at which new requests are refused. Longer than
-// kLookupAnswerTtl, so that callers use other nodes by then.
+// Time after the request of a stop at which new requests are refused. Longer
+// than kLookupAnswerTtl, so that callers use other nodes by then.
 constexpr std::chrono::milliseconds kRefuseAfter{2'800};
 constexpr std::chrono::milliseconds kStopPollInterval{50};
 // Part of the grace period that is left when the process exits with requests in
@@ -188,13 +188,14 @@
     return nodes_.PeerAddresses();
   }
 
-  void BeginStop(std::function<void()> done) {
+  void BeginStop(TimePoint requested_at, std::function<void()> done) {
     stopping_ = true;
     on_stopped_ = std::move(done);
-    stop_started_at_ = loop_->Now();
+    stop_requested_at_ = requested_at;
     nodes_.WithdrawSelf();
     OnNodesChanged();
     server_->SetDrainState(edge::DrainState::kDraining);
+    server_->RefuseFrom(requested_at + kRefuseAfter);
     ContinueStop();
   }
 
@@ -347,7 +348,7 @@
   }
 
   void ContinueStop() {
-    const Duration since = loop_->Now() - stop_started_at_;
+    const Duration since = loop_->Now() - stop_requested_at_;
     if (since >= kRefuseAfter && !refusing_) {
       refusing_ = true;
       server_->SetDrainState(edge::DrainState::kRefusing);
@@ -393,7 +394,7 @@
   std::unique_ptr<admin::MetricsServer> metrics_server_;
   std::unique_ptr<edge::Server> server_;
   std::function<void()> on_stopped_;
-  TimePoint stop_started_at_{};
+  TimePoint stop_requested_at_{};
   bool backends_listed_ = false;
   bool store_readable_ = true;
   bool stopping_ = false;
@@ -473,8 +474,8 @@
 std::vector<std::string> Gateway::PeerAddresses() const {
   return impl_->PeerAddresses();
 }
-void Gateway::BeginStop(std::function<void()> done) {
-  impl_->BeginStop(std::move(done));
+void Gateway::BeginStop(TimePoint requested_at, std::function<void()> done) {
+  impl_->BeginStop(requested_at, std::move(done));
 }
 GatewayStats Gateway::GetStats() const {
   return impl_->GetStats();
--- a/src/loop/event_loop.cc
+++ b/src/loop/event_loop.cc
@@ -4,6 +4,9 @@
 #include <event2/event.h>
 #include <event2/thread.h>
 
+#include <array>
+#include <atomic>
+#include <csignal>
 #include <mutex>
 #include <unordered_set>
 #include <utility>
@@ -14,11 +17,33 @@
 
 struct SignalHandler {
   event* source = nullptr;
-  std::function<void()> run;
+  std::function<void(TimePoint arrived_at)> run;
 };
 
-void RunSignalHandler(evutil_socket_t, short, void* arg) {
-  static_cast<SignalHandler*>(arg)->run();
+// Indexed by signal: when it last arrived, and libevent's handler of it.
+std::array<std::atomic<int64_t>, NSIG> arrival_micros;
+std::array<void (*)(int), NSIG> libevent_handlers;
+
+// Runs when the signal arrives, even if the loop is busy.
+void RecordArrival(int number) {
+  arrival_micros[number] = SystemClock().Now().time_since_epoch().count();
+  libevent_handlers[number](number);
+}
+
+void RunSignalHandler(evutil_socket_t number, short, void* arg) {
+  const TimePoint arrived_at{Duration(arrival_micros[number].load())};
+  static_cast<SignalHandler*>(arg)->run(arrived_at);
+}
+
+// Puts RecordArrival() before the handler that libevent has installed.
+void RecordArrivals(int number) {
+  struct sigaction action = {};
+  sigaction(number, nullptr, &action);
+  if (action.sa_handler != &RecordArrival) {
+    libevent_handlers[number] = action.sa_handler;
+    action.sa_handler = &RecordArrival;
+    sigaction(number, &action, nullptr);
+  }
 }
 
 }  // namespace
@@ -56,11 +81,12 @@
     event_active(wakeup_, EV_READ, 0);
   }
 
-  void OnSignal(int number, std::function<void()> handler) {
+  void OnSignal(int number, std::function<void(TimePoint arrived_at)> handler) {
     auto entry = std::make_unique<SignalHandler>();
     entry->run = std::move(handler);
     entry->source = evsignal_new(base_, number, &RunSignalHandler, entry.get());
     event_add(entry->source, nullptr);
+    RecordArrivals(number);
     signal_handlers_.push_back(std::move(entry));
   }
 
@@ -124,7 +150,8 @@
   impl_->RunInLoop(std::move(task));
 }
 
-void EventLoop::OnSignal(int number, std::function<void()> handler) {
+void EventLoop::OnSignal(int number,
+                         std::function<void(TimePoint arrived_at)> handler) {
   impl_->OnSignal(number, std::move(handler));
 }
 
--- a/tests/gateway_path_test.cc
+++ b/tests/gateway_path_test.cc
@@ -429,8 +429,18 @@
       GatewayRequest("GET", "/look/x?work_ms=200", "running"));
   REQUIRE(fixture.WaitUntil([&] { return fixture.CountRuns("running") == 1; }));
   bool stopped = false;
-  fixture.gateway->BeginStop([&] { stopped = true; });
+  const auto begin_stop = [&](TimePoint requested_at) {
+    fixture.gateway->BeginStop(requested_at, [&] { stopped = true; });
+  };
+  SUBCASE("refuses late requests also when it was noticed late") {
+    begin_stop(fixture.loop.Now() - std::chrono::seconds(3));
+    const auto late_caller =
+        fixture.SendAndWait(GatewayRequest("GET", "/look/y", "late"));
+    CHECK(late_caller->LastStatus() == 503);
+    CHECK(fixture.CountRuns("late") == 0);
+  }
   SUBCASE("removes the node from look-ups at once") {
+    begin_stop(fixture.loop.Now());
     CHECK(fixture.WaitUntil(
         [&] { return !fixture.store.Has("nodes/front-a-1"); }));
     CHECK(fixture
@@ -438,6 +448,7 @@
               .status == 503);
   }
   SUBCASE("serves requests of callers with cached look-up answers") {
+    begin_stop(fixture.loop.Now());
     const auto late_caller =
         fixture.SendAndWait(GatewayRequest("GET", "/look/y", "late"));
     CHECK(late_caller->LastStatus() == 200);
