--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -26,28 +26,30 @@
   double (*read)(const GatewayStats& stats);
 };
 
+template <auto kMember>
+double Read(const GatewayStats& stats) {
+  return static_cast<double>(stats.*kMember);
+}
+
 constexpr StateMetric kStateMetrics[] = {
     {"comfreystand_config_version", "Configuration in force.",
-     [](const GatewayStats& stats) -> double { return stats.version.value; }},
+     [](const GatewayStats& stats) {
+       return static_cast<double>(stats.version.value);
+     }},
     {"comfreystand_backends_ready", "Backend servers that take requests.",
-     [](const GatewayStats& stats) -> double { return stats.backends_ready; }},
+     &Read<&GatewayStats::backends_ready>},
     {"comfreystand_backends_draining", "Backend servers that drain.",
-     [](const GatewayStats& stats) -> double {
-       return stats.backends_draining;
-     }},
+     &Read<&GatewayStats::backends_draining>},
     {"comfreystand_domains_evacuated", "Failure domains evacuated.",
-     [](const GatewayStats& stats) -> double {
-       return stats.domains_evacuated;
-     }},
-    {"comfreystand_nodes", "Nodes registered.",
-     [](const GatewayStats& stats) -> double { return stats.nodes; }},
+     &Read<&GatewayStats::domains_evacuated>},
+    {"comfreystand_nodes", "Nodes registered.", &Read<&GatewayStats::nodes>},
     {"comfreystand_ready", "Whether callers are sent here.",
-     [](const GatewayStats& stats) -> double { return stats.ready; }},
+     &Read<&GatewayStats::ready>},
     {"comfreystand_store_lost", "Whether the store does not answer.",
-     [](const GatewayStats& stats) -> double { return stats.store_lost; }},
+     &Read<&GatewayStats::store_lost>},
     {"comfreystand_store_readable",
      "Whether the store's entries are read, directly or from a node.",
-     [](const GatewayStats& stats) -> double { return stats.store_readable; }},
+     &Read<&GatewayStats::store_readable>},
 };
 
 // Metrics of steer::DispatcherStats that can fall.
