--- a/tests/gateway_path_test.cc
+++ b/tests/gateway_path_test.cc
@@ -258,7 +258,7 @@
     fixture.SendAndWait(GatewayRequest("GET", "/look/x", "r1"));
   }
   // The request is read together with the end of the connection.
-  fixture.SendAndCloseAtOnce(GatewayRequest("GET", "/look/x", "left"));
+  REQUIRE(fixture.SendAndCloseAtOnce(GatewayRequest("GET", "/look/x", "left")));
   fixture.SendAndWait(GatewayRequest("GET", "/look/x", "r2"));
   CHECK(fixture.CountRuns("r2") == 1);
   CHECK(fixture.CountRuns("left") == 0);
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -143,14 +143,17 @@
   }
 
   // Sends `bytes` on a connection of its own and closes it before the gateway
-  // runs again.
-  void SendAndCloseAtOnce(const std::string& bytes) {
+  // runs again. Returns false when they could not be sent.
+  bool SendAndCloseAtOnce(const std::string& bytes) {
     sockaddr_in address = {};
     edge::ParseAddress(settings.traffic_address.text, &address);
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-    send(fd, bytes.data(), bytes.size(), 0);
+    const bool sent = connect(fd, reinterpret_cast<const sockaddr*>(&address),
+                              sizeof(address)) == 0 &&
+                      send(fd, bytes.data(), bytes.size(), 0) ==
+                          static_cast<ssize_t>(bytes.size());
     close(fd);
+    return sent;
   }
 
   // Sends a request and waits for its answer or the end of the connection.
