Known red: a malformed chunk length is accepted on aarch64

The case becomes a test of its own with the same checks, so that all other malformed requests still count.

--- a/tests/edge_bad_input_test.cc
+++ b/tests/edge_bad_input_test.cc
@@ -17,13 +17,32 @@
   CHECK(fixture->RunUntil([&] { return caller->AnswerCount() == 1; }));
 }
 
+struct Case {
+  const char* name;
+  std::string bytes;
+  int status;
+  Fault fault;
+};
+
+void CheckRefused(const Case& c) {
+  CAPTURE(std::string(c.name));
+  EdgeFixture fixture;
+  const auto caller = fixture.SendUntilClosed(c.bytes);
+  CHECK(caller->LastStatus() == c.status);
+  CHECK(caller->closed());
+  CHECK(fixture.FaultCount(c.fault) == 1);
+  CHECK(fixture.backend(0).counts().started == 0);
+  CheckStillServing(&fixture);
+}
+
+TEST_CASE("a malformed chunk length is refused and counted") {
+  CheckRefused(
+      {"bad chunk",
+       Request("POST", "/a", "Transfer-Encoding: chunked\r\n") + "zz\r\n\r\n",
+       400, Fault::kMalformed});
+}
+
 TEST_CASE("malformed requests are refused and counted") {
-  struct Case {
-    const char* name;
-    std::string bytes;
-    int status;
-    Fault fault;
-  };
   const std::string large(20'000, 'h');
   const Case cases[] = {
       {"garbage", "\x01\x02garbage\r\n\r\n", 400, Fault::kMalformed},
@@ -49,9 +68,6 @@
       {"unsupported transfer encoding",
        Request("POST", "/a", "Transfer-Encoding: gzip\r\n"), 400,
        Fault::kMalformed},
-      {"bad chunk",
-       Request("POST", "/a", "Transfer-Encoding: chunked\r\n") + "zz\r\n\r\n",
-       400, Fault::kMalformed},
       {"unknown path", "GET /v2/x HTTP/1.1\r\nConnection: close\r\n\r\n", 404,
        Fault::kUnknownPath},
       {"unknown service",
@@ -81,14 +97,7 @@
        Fault::kBodyTooLarge},
   };
   for (const Case& c : cases) {
-    CAPTURE(std::string(c.name));
-    EdgeFixture fixture;
-    const auto caller = fixture.SendUntilClosed(c.bytes);
-    CHECK(caller->LastStatus() == c.status);
-    CHECK(caller->closed());
-    CHECK(fixture.FaultCount(c.fault) == 1);
-    CHECK(fixture.backend(0).counts().started == 0);
-    CheckStillServing(&fixture);
+    CheckRefused(c);
   }
 }
 
