Look up the preferred backend servers only where it matters

Reading of the whole change: since requests that no rate allows in time are refused at once, each choice looked up the rank of every backend server and checked each of them twice. The rank is looked up for those that have no room or may be chosen, as before; MayServe loses a parameter that it did not use.

--- a/src/steer/balance_pool.cc
+++ b/src/steer/balance_pool.cc
@@ -53,8 +53,7 @@
          (region.IsValid() && (request.regions >> region.value & 1) != 0);
 }
 
-bool ServicePool::MayServe(TimePoint now,
-                           const Member& member,
+bool ServicePool::MayServe(const Member& member,
                            const ChoiceRequest& request) const {
   const Backend& backend = At(member.backend);
   return backend.state == BackendState::kLive && !backend.suspended &&
@@ -81,7 +80,7 @@
                            const Member& member,
                            const ChoiceRequest& request) const {
   const Backend& backend = At(member.backend);
-  if (!MayServe(now, member, request) || now < backend.refused_until ||
+  if (!MayServe(member, request) || now < backend.refused_until ||
       CheckState(now, backend) == BackendCheck::State::kFailed ||
       NextStart(now, backend) > now) {
     return false;
@@ -144,16 +143,18 @@
   // Lowest-cost members of the own region [0] and of all other regions [1].
   std::array<Backend*, 2> best = {nullptr, nullptr};
   std::array<double, 2> cost = {0, 0};
+  const auto is_preferred = [&](const Backend& backend) {
+    return request.work.object == 0 ||
+           order.RankOf(backend.key) != PlacementOrder::kRanks;
+  };
   BackendId unchecked_trial;
   TimePoint next_start = TimePoint::max();
   for (const Member& member : members_) {
     Backend& backend = At(member.backend);
-    const bool preferred = request.work.object == 0 ||
-                           order.RankOf(backend.key) != PlacementOrder::kRanks;
-    if (preferred && MayServe(now, member, request)) {
-      next_start = std::min(next_start, NextStart(now, backend));
-    }
     if (!CanPlace(now, member, request)) {
+      if (MayServe(member, request) && is_preferred(backend)) {
+        next_start = std::min(next_start, NextStart(now, backend));
+      }
       continue;
     }
     if (IsTrialDue(now, backend, request)) {
@@ -164,12 +165,13 @@
       }
       unchecked_trial = backend.id;
     }
-    if (backend.suspect || backend.IsEjected()) {
-      continue;
-    }
     // Work on an object outside its preferred backend servers takes long and
     // evicts other objects there.
-    if (!preferred) {
+    if (!is_preferred(backend)) {
+      continue;
+    }
+    next_start = std::min(next_start, NextStart(now, backend));
+    if (backend.suspect || backend.IsEjected()) {
       continue;
     }
     const bool remote =
--- a/src/steer/balance_pool.h
+++ b/src/steer/balance_pool.h
@@ -175,9 +175,7 @@
                 const ChoiceRequest& request) const;
   // True when the member may serve the request once it has room and its rates
   // allow it.
-  bool MayServe(TimePoint now,
-                const Member& member,
-                const ChoiceRequest& request) const;
+  bool MayServe(const Member& member, const ChoiceRequest& request) const;
   // Time from which the rates of a backend server allow another request.
   static TimePoint NextStart(TimePoint now, const Backend& backend);
   // State of the last probe; current when no probe is needed.
