--- a/include/comfreystand/traffic.h
+++ b/include/comfreystand/traffic.h
@@ -92,6 +92,8 @@
   int slots = 1;
   // Remaining time of the cold phase.
   Duration remaining_cold_time{0};
+  // Counts the reports of this incarnation.
+  int64_t sequence = 0;
   // Start of this incarnation, in milliseconds since the Unix epoch; zero when
   // not reported.
   int64_t started_at_ms = 0;
--- a/src/gateway/backend_registry.cc
+++ b/src/gateway/backend_registry.cc
@@ -67,6 +67,17 @@
        {"cold_ms", std::to_string(entry.remaining_cold_time.count() / 1'000)}});
 }
 
+// Entries of an earlier incarnation may be late, and a store that was restored
+// to an older state has entries of before. Without its start, an incarnation
+// can't be told from the next one, which counts anew.
+bool BackendRegistry::IsOutdated(const BackendEntry& entry,
+                                 const BackendEntry& last) {
+  if (entry.started_at_ms != last.started_at_ms) {
+    return entry.started_at_ms < last.started_at_ms;
+  }
+  return entry.started_at_ms != 0 && entry.sequence < last.sequence;
+}
+
 void BackendRegistry::Put(const BackendEntry& entry, TimePoint now) {
   auto found = records_.find(entry.name);
   if (found == records_.end()) {
@@ -81,8 +92,12 @@
     StartIncarnation(&found->second, entry, now);
   } else {
     Record& record = found->second;
-    if (entry.started_at_ms < record.entry.started_at_ms) {
-      // A late entry of an earlier incarnation.
+    if (IsOutdated(entry, record.entry)) {
+      LogStateChange("backend", "outdated-entry",
+                     {{"name", entry.name},
+                      {"born_ms", std::to_string(entry.started_at_ms)},
+                      {"sequence", std::to_string(entry.sequence)},
+                      {"known", std::to_string(record.entry.sequence)}});
       return;
     }
     const bool is_new_incarnation =
--- a/src/gateway/backend_registry.h
+++ b/src/gateway/backend_registry.h
@@ -77,6 +77,8 @@
     Incarnation incarnation;
   };
 
+  // Whether an entry was written before the last one of the same incarnation.
+  static bool IsOutdated(const BackendEntry& entry, const BackendEntry& last);
   BackendId NewId();
   BackendId ReuseOldestId();
   bool IsStillGone(const EndedIncarnation& ended) const;
--- a/standins/store.cc
+++ b/standins/store.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "platform/names.h"
 #include "platform/store_codec.h"
 
 namespace comfreystand::standins {
@@ -157,7 +158,8 @@
   ++calls_.watches;
   const PendingWatch watch = {exchange, exchange->Query("prefix"),
                               exchange->QueryNumber("after")};
-  if (watch.after < oldest_watch_revision_) {
+  const bool is_lost = era_ > 0 && watch.after > revision_;
+  if (watch.after < oldest_watch_revision_ || is_lost) {
     Send(exchange, kGone, "{}");
     return;
   }
@@ -236,6 +238,29 @@
   NotifyPendingWatches();
 }
 
+void Store::KeepCopy() {
+  copy_ = {.entries = entries_,
+           .leases = leases_,
+           .revision = revision_,
+           .next_lease = next_lease_};
+}
+
+void Store::RestoreCopy(bool cut_watches) {
+  entries_ = copy_.entries;
+  leases_ = copy_.leases;
+  revision_ = copy_.revision;
+  next_lease_ = copy_.next_lease;
+  ++era_;
+  std::erase_if(history_, [this](const Event& event) {
+    return event.revision > revision_;
+  });
+  if (cut_watches) {
+    for (const PendingWatch& watch : std::exchange(pending_watches_, {})) {
+      watch.exchange->Abort();
+    }
+  }
+}
+
 void Store::Compact() {
   history_.clear();
   oldest_watch_revision_ = revision_ + 1;
@@ -414,8 +439,12 @@
 }
 
 void Store::Send(const ExchangePtr& exchange, int status, std::string body) {
-  auto send = [exchange, status, body = std::move(body)] {
-    exchange->Respond(status, body, {{"Content-Type", "application/json"}});
+  std::vector<Header> headers = {{"Content-Type", "application/json"}};
+  if (names_era_) {
+    headers.push_back({platform::names::kStoreEra, std::to_string(era_)});
+  }
+  auto send = [exchange, status, body = std::move(body), headers] {
+    exchange->Respond(status, body, headers);
   };
   if (faults_.delay.count() > 0) {
     PostDelayed(faults_.delay, std::move(send));
--- a/standins/store.h
+++ b/standins/store.h
@@ -77,6 +77,14 @@
     stale_entries_ = entries_;
     stale_revision_ = revision_;
   }
+  // Keeps a copy of the items and leases for RestoreCopy().
+  void KeepCopy();
+  // Goes back to the kept copy: all later writes and leases are lost, revisions
+  // and lease ids are given out again, and the era rises by one. Waiting
+  // watches are cut, unless `cut_watches` is false.
+  void RestoreCopy(bool cut_watches = true);
+  // Sets whether responses name the era, as those of older stores don't.
+  void SetNamesEra(bool names_era) { names_era_ = names_era; }
   // Sets the max number of items in one page of a range.
   void SetPageSize(size_t items) { page_items_ = items; }
 
@@ -97,6 +105,13 @@
     Duration ttl{0};
     TimePoint expires;
   };
+  // Everything that a restore brings back.
+  struct Copy {
+    std::map<std::string, Entry> entries;
+    std::map<int64_t, Lease> leases;
+    int64_t revision = 1;
+    int64_t next_lease = 1;
+  };
   struct PendingWatch {
     ExchangePtr exchange;
     std::string prefix;
@@ -146,6 +161,9 @@
   std::map<std::string, Entry> stale_entries_;
   int64_t stale_revision_ = 0;
   std::map<int64_t, Lease> leases_;
+  Copy copy_;
+  int64_t era_ = 0;
+  bool names_era_ = true;
   std::deque<Event> history_;
   // Watches from before this revision get 410.
   int64_t oldest_watch_revision_ = 1;
--- a/tests/platform_watcher_test.cc
+++ b/tests/platform_watcher_test.cc
@@ -108,12 +108,12 @@
     CHECK(fixture.write_count == 5);
   }
   SUBCASE("returns its known items page by page") {
-    const StoreItems first = fixture.watcher.KnownItems("", 2);
+    const StoreItems first = fixture.watcher.copy().Page("", 2);
     REQUIRE(first.items.size() == 2);
     CHECK(first.has_more);
     CHECK(first.as_of == fixture.watcher.known_revision());
     const StoreItems rest =
-        fixture.watcher.KnownItems(first.items.back().key, 3);
+        fixture.watcher.copy().Page(first.items.back().key, 3);
     REQUIRE(rest.items.size() == 3);
     CHECK_FALSE(rest.has_more);
     CHECK(rest.items.front().key == "p/2");
