Obey what backend servers say of themselves: leaving, and a time to wait

Callers' requests went to backend servers that had said in an answer that they leave, until the store said so, and to those that had refused with a Retry-After: neither header was read.

A statement counts in any answer (one that ran, a refusal, a health check, one to an earlier request of the connection), and binds the node as long as the process is the same (name and start), whatever the store says; a 421 says nothing of the one that was meant. Requests that wait go elsewhere at once, also those whose connection isn't established yet; without another backend server they are refused at once, not run. Waits are a backend server's word to this node: health checks obey it too, up to an hour; the header isn't passed on to callers, as the service's others may take them. When none may, callers are told to come back at the end of the shortest wait.

--- a/include/comfreystand/relay_protocol.h
+++ b/include/comfreystand/relay_protocol.h
@@ -151,6 +151,8 @@
   Kind kind = Kind::kAnswer;
   // The backend server is draining.
   bool leaving = false;
+  // As in steer::AttemptReport.
+  std::optional<Duration> wait;
   // The backend server failed; a retry at another one may succeed.
   bool failed = false;
   // Free slots, or -1 when not reported.
--- a/include/comfreystand/steer/dispatch.h
+++ b/include/comfreystand/steer/dispatch.h
@@ -63,6 +63,25 @@
   kCancelledByCaller,
 };
 
+// Why a node sends no request to a backend server for now.
+enum class HoldReason : uint8_t {
+  kNone,
+  // It is leaving or gone.
+  kLeaving,
+  // Its failure domain has been evacuated.
+  kSuspended,
+  // It has asked this node to wait.
+  kAskedToWait,
+  // It has refused a request for lack of slots.
+  kRefused,
+  // It has not answered a probe, or is not healthy.
+  kUnhealthy,
+  // It is cold.
+  kCold,
+  // It has named a limit.
+  kLimited,
+};
+
 enum class ActionType : uint8_t {
   // Send the request to `backend` as `attempt`, with `deadline`.
   kStartAttempt,
@@ -87,6 +106,9 @@
   RejectReason reason = RejectReason::kNone;
   // Time after which the caller may retry; zero when a retry would not help.
   Duration retry_after{0};
+  // Of kReject: what kept the request from the backend server that would have
+  // taken it first.
+  HoldReason hold = HoldReason::kNone;
 };
 
 // State change of an attempt as observed on its connection.
@@ -106,6 +128,9 @@
   kConnectFailed,
   // The connection broke, timed out or was cancelled.
   kBroken,
+  // An answer to an earlier request arrived on the connection. It tells nothing
+  // about the attempt, only about the backend server.
+  kEarlierAnswer,
 };
 
 // An attempt event with the details that the driver observed.
@@ -117,6 +142,8 @@
   bool timed_out = false;
   // The backend server announced that it is leaving.
   bool leaving = false;
+  // The backend server wants no requests from this node for so long.
+  std::optional<Duration> wait;
   // Free slots that the backend server reported with this answer, or -1.
   int reported_free_slots = -1;
   std::optional<LoadHeader> load;
@@ -135,6 +162,10 @@
 struct ProbeReport {
   // It answered and is healthy.
   bool healthy = false;
+  // It announced that it is leaving.
+  bool leaving = false;
+  // As in AttemptReport.
+  std::optional<Duration> wait;
   // Remaining time of its cold phase, when reported.
   std::optional<Duration> remaining_cold_time;
   // The answer came from another backend server, which now uses the address.
@@ -168,6 +199,9 @@
   Incarnation incarnation{};
   // Hash of the backend server's name; the same on every node.
   uint64_t key = 0;
+  // Identifies the process. What a process has said of itself binds all its
+  // incarnations here: it may only have been out of sight. Zero when unknown.
+  uint64_t process = 0;
   // Temporarily receives no requests.
   bool suspended = false;
   // End of the cold phase, in which it accepts few requests.
@@ -294,6 +328,8 @@
 // State of one backend server as the dispatcher sees it.
 struct BackendStatus {
   BackendState state = BackendState::kRemoved;
+  // Until then it has asked this node to wait.
+  TimePoint wait_until{};
   uint32_t in_flight = 0;
   uint32_t long_in_flight = 0;
   // Measured latency over expected latency; 1 is normal.
@@ -339,6 +375,12 @@
   // Ends a request whose caller disconnected and cancels its attempts.
   virtual void CancelRequest(TimePoint now, RequestHandle request) = 0;
 
+  // Whether the backend server of an attempt that was not sent yet has been
+  // found to be leaving, or has asked to wait, since the attempt was started.
+  virtual bool IsWithdrawn(TimePoint now, AttemptHandle attempt) const {
+    return false;
+  }
+
   // Reports an event of an attempt. Reports for finished or unknown attempts
   // are counted and ignored.
   virtual void OnAttempt(TimePoint now,
--- a/src/edge/attempt.cc
+++ b/src/edge/attempt.cc
@@ -12,7 +12,8 @@
 
 bool IsFinal(AttemptEvent event) {
   return event != AttemptEvent::kWritten &&
-         event != AttemptEvent::kAnswerStarted;
+         event != AttemptEvent::kAnswerStarted &&
+         event != AttemptEvent::kEarlierAnswer;
 }
 
 }  // namespace
@@ -91,6 +92,7 @@
   report.event = event;
   report.timed_out = timed_out;
   report.leaving = answer_.leaving;
+  report.wait = answer_.wait;
   report.reported_free_slots = answer_.free_slots;
   report.load = answer_.load;
   report.remaining_cold_time = answer_.remaining_cold_time;
@@ -101,7 +103,8 @@
 }
 
 bool Attempt::IsStillWanted() {
-  cancelling_ = cancelling_ || !delegate_->IsCallerWaiting(this);
+  cancelling_ = cancelling_ || !delegate_->IsCallerWaiting(this) ||
+                delegate_->IsWithdrawn(this);
   return !cancelling_;
 }
 
@@ -115,7 +118,16 @@
 }
 
 bool Attempt::IsMatchingAnswer(const AnswerHead& head) {
-  return protocol_->ReadAnswer(head, info_).kind != AnswerInfo::Kind::kStale;
+  const AnswerInfo answer = protocol_->ReadAnswer(head, info_);
+  if (answer.kind != AnswerInfo::Kind::kStale) {
+    return true;
+  }
+  if (answer.leaving || answer.wait) {
+    delegate_->OnAttemptReport(this, {.event = AttemptEvent::kEarlierAnswer,
+                                      .leaving = answer.leaving,
+                                      .wait = answer.wait});
+  }
+  return false;
 }
 
 void Attempt::OnAnswerHead(AnswerHead head) {
--- a/src/edge/attempt.h
+++ b/src/edge/attempt.h
@@ -32,6 +32,9 @@
                                const steer::AttemptReport& report) = 0;
   // Whether the caller still waits for the answer.
   virtual bool IsCallerWaiting(const Attempt* attempt) = 0;
+  // Whether the backend server of an attempt that was not sent yet takes no
+  // more requests.
+  virtual bool IsWithdrawn(const Attempt* attempt) = 0;
   // All written request bytes were sent; more may be written.
   virtual void OnAttemptFlushed(Attempt* attempt) = 0;
   // Sends a cancellation request for the attempt to its backend server. The
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -77,12 +77,17 @@
     std::optional<steer::LoadHeader> load;
     std::optional<Duration> remaining_cold_time;
     std::optional<double> max_rate;
+    bool leaving = false;
+    std::optional<Duration> wait;
   };
   std::vector<AttemptRecord>& attempt_records() { return attempt_records_; }
   // HTTP status sent to the caller; 0 while there is none.
   int status() const { return status_; }
   // Error code of the refusal; empty when the request was not refused.
   const char* reason() const { return reason_; }
+  // What kept the request from a backend server, when it was rejected.
+  steer::HoldReason hold() const { return hold_; }
+  void set_hold(steer::HoldReason hold) { hold_ = hold; }
   // When the answer was complete.
   TimePoint finished_at() const { return finished_at_; }
   void set_finished_at(TimePoint now) { finished_at_ = now; }
@@ -141,6 +146,7 @@
   RunVerdict delivered_verdict_ = RunVerdict::kRan;
   int status_ = 0;
   const char* reason_ = "";
+  steer::HoldReason hold_ = steer::HoldReason::kNone;
   TimePoint finished_at_{};
   std::vector<AttemptRecord> attempt_records_;
   bool chunked_answer_ = false;
--- a/src/edge/request_log.cc
+++ b/src/edge/request_log.cc
@@ -23,10 +23,15 @@
     "answered", "refused", "cut-off", "caller-left"};
 
 // Indexed by steer::AttemptEvent.
-constexpr std::array<std::string_view, 7> kAttemptEventNames = {
+constexpr std::array<std::string_view, 8> kAttemptEventNames = {
     "open",    "answer-begun",           "answered",
     "not-run", "cancelled-before-start", "no-connection",
-    "broken"};
+    "broken",  "earlier-answer"};
+
+// Indexed by steer::HoldReason.
+constexpr std::array<std::string_view, 8> kHoldNames = {
+    "",        "leaving",   "evacuated", "asked-to-wait",
+    "refused", "unhealthy", "cold",      "limited"};
 
 int64_t Millis(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
@@ -64,6 +69,12 @@
   if (record.max_rate && *record.max_rate < steer::kUnlimitedRate) {
     text += " limit=" + FormatRate(*record.max_rate);
   }
+  if (record.leaving) {
+    text += " leaving";
+  }
+  if (record.wait) {
+    text += " wait=" + std::to_string(Millis(*record.wait));
+  }
   if (record.remaining_cold_time) {
     text += " cold=" + std::to_string(Millis(*record.remaining_cold_time));
   }
@@ -97,6 +108,7 @@
        {"end", std::string(kRequestEndNames[static_cast<size_t>(end)])},
        {"status", std::to_string(relay->status())},
        {"reason", relay->reason()},
+       {"held_by", std::string(kHoldNames[static_cast<size_t>(relay->hold())])},
        {"ms", std::to_string(Millis(now - traits.arrival))},
        {"limit_ms", std::to_string(TimeLimitMillis(traits))},
        {"object", std::to_string(traits.object)},
--- a/src/edge/server_actions.cc
+++ b/src/edge/server_actions.cc
@@ -1,7 +1,10 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
 #include <utility>
 
+#include "comfreystand/log.h"
 #include "src/edge/request_log.h"
 #include "src/edge/server_impl.h"
 
@@ -94,7 +97,9 @@
                                         .ended = {},
                                         .load = {},
                                         .remaining_cold_time = {},
-                                        .max_rate = {}});
+                                        .max_rate = {},
+                                        .leaving = false,
+                                        .wait = {}});
   }
   attempts_[action.attempt] = std::move(owned);
   ++stats_.attempts;
@@ -117,6 +122,7 @@
   ++stats_.rejects[static_cast<size_t>(action.reason)];
   Relay* relay = FindRelay(action.request);
   if (relay) {
+    relay->set_hold(action.hold);
     relay->Refuse(protocol_->RefusalFor(action));
   }
 }
@@ -148,6 +154,7 @@
           report = protocol_->ReadHealth(outcome.head,
                                          backend_pool_.NameOf(backend));
         }
+        LogStatements(backend, "", report.leaving, report.wait);
         dispatcher_->OnProbe(clock_->Now(), backend, report);
         RemoveControlRequest(self);
         ScheduleActions();
@@ -241,10 +248,31 @@
     attempt->Discard();
   }
   RecordReport(*attempt, report);
+  LogStatements(attempt->identity().backend, attempt->info().request_id,
+                report.leaving, report.wait);
   dispatcher_->OnAttempt(clock_->Now(), attempt->identity().handle, report);
   ScheduleActions();
 }
 
+// Logs what a backend server says of itself, once as long as it holds.
+void Server::Impl::LogStatements(BackendId backend,
+                                 const std::string& request_id,
+                                 bool leaving,
+                                 std::optional<Duration> wait) {
+  const steer::BackendStatus status = dispatcher_->StatusOf(backend);
+  if (leaving && status.state == steer::BackendState::kLive) {
+    LogStateChange(
+        "backend", "said-leaving",
+        {{"name", backend_pool_.NameOf(backend)}, {"request", request_id}});
+  }
+  if (wait && status.wait_until <= clock_->Now()) {
+    LogStateChange("backend", "asked-to-wait",
+                   {{"name", backend_pool_.NameOf(backend)},
+                    {"request", request_id},
+                    {"ms", std::to_string(wait->count() / 1'000)}});
+  }
+}
+
 void Server::Impl::RecordReport(const Attempt& attempt,
                                 const steer::AttemptReport& report) {
   Relay* relay = FindRelay(attempt.identity().request);
@@ -252,12 +280,15 @@
     return;
   }
   for (Relay::AttemptRecord& record : relay->attempt_records()) {
-    if (record.handle == attempt.identity().handle) {
+    if (record.handle == attempt.identity().handle &&
+        report.event != steer::AttemptEvent::kEarlierAnswer) {
       record.event = report.event;
       record.ended = clock_->Now();
       record.load = report.load;
       record.remaining_cold_time = report.remaining_cold_time;
       record.max_rate = report.max_rate;
+      record.leaving = report.leaving;
+      record.wait = report.wait;
     }
   }
 }
@@ -267,6 +298,10 @@
   return relay && !relay->AbortIfCallerLeft();
 }
 
+bool Server::Impl::IsWithdrawn(const Attempt* attempt) {
+  return dispatcher_->IsWithdrawn(clock_->Now(), attempt->identity().handle);
+}
+
 void Server::Impl::OnAttemptFlushed(Attempt* attempt) {
   if (Relay* relay = FindRelay(attempt->identity().request)) {
     relay->OnAttemptFlushed();
--- a/src/edge/server_impl.h
+++ b/src/edge/server_impl.h
@@ -68,6 +68,7 @@
   void OnAttemptReport(Attempt* attempt,
                        const steer::AttemptReport& report) override;
   bool IsCallerWaiting(const Attempt* attempt) override;
+  bool IsWithdrawn(const Attempt* attempt) override;
   void OnAttemptFlushed(Attempt* attempt) override;
   void SendCancel(Attempt* attempt) override;
   void OnUnresponsive(const HttpConnection* connection) override;
@@ -105,6 +106,10 @@
   void RunActions();
   // Logs a finished request and notifies the observer.
   void RecordFinishedRequest(Relay* relay, RequestEnd end);
+  void LogStatements(BackendId backend,
+                     const std::string& request_id,
+                     bool leaving,
+                     std::optional<Duration> wait);
   void RecordReport(const Attempt& attempt, const steer::AttemptReport& report);
   void DestroyReleased();
   void ScheduleWakeup(TimePoint now);
--- a/src/gateway/backend_registry.cc
+++ b/src/gateway/backend_registry.cc
@@ -308,6 +308,10 @@
   update.state = record.state;
   update.incarnation = record.incarnation;
   update.key = StableHash(record.entry.name);
+  if (record.entry.started_at_ms != 0) {
+    update.process = StableHash(
+        update.key, static_cast<uint64_t>(record.entry.started_at_ms));
+  }
   update.suspended = evacuated_domains_.contains(record.entry.domain);
   update.cold_until = record.cold_until;
   if (const TrafficService* service = ServiceOf(record)) {
--- a/src/steer/balance_backend.cc
+++ b/src/steer/balance_backend.cc
@@ -37,8 +37,16 @@
     // The state of an incarnation only advances: live, leaving, gone.
     next = std::max(state, update.state);
   } else {
+    if (!known || process == 0 || update.process != process) {
+      said_leaving_ = false;
+      wait_until = {};
+      refused_until = {};
+      max_rate = kUnlimitedRate;
+    }
+    if (said_leaving_) {
+      next = std::max(next, BackendState::kLeaving);
+    }
     served = 0;
-    max_rate = kUnlimitedRate;
     weight = 1;
     suspect = false;
     progress_timeouts_ = 0;
@@ -48,6 +56,7 @@
                        service != update.service || domain != update.domain ||
                        slots != static_cast<uint32_t>(update.slots.value);
   key = update.key;
+  process = update.process;
   suspended = update.suspended;
   // Answers report the cold time too, so the later end applies.
   cold_until = same_incarnation ? std::max(cold_until, update.cold_until)
@@ -67,6 +76,46 @@
   state = std::max(state, BackendState::kLeaving);
 }
 
+void Backend::OnSaidLeaving() {
+  said_leaving_ = true;
+  MarkLeaving();
+}
+
+void Backend::OnAskedToWait(TimePoint now, Duration wait) {
+  wait_until = std::max(wait_until, now + wait);
+}
+
+SendHold Backend::HoldAt(TimePoint now, bool checked) const {
+  if (state != BackendState::kLive) {
+    return {HoldReason::kLeaving, TimePoint::max(), TimePoint::max()};
+  }
+  if (suspended) {
+    return {HoldReason::kSuspended, TimePoint::max(), TimePoint::max()};
+  }
+  SendHold hold{.until = now, .known_until = now};
+  const auto extend = [&hold](HoldReason reason, TimePoint until) {
+    if (until > hold.until) {
+      hold.reason = reason;
+      hold.until = until;
+    }
+  };
+  extend(HoldReason::kAskedToWait, wait_until);
+  if (now < cold_until) {
+    extend(HoldReason::kCold,
+           std::min(cold_until, shared_rate.NextColdStart(cold_rate)));
+  }
+  if (IsLimited()) {
+    extend(HoldReason::kLimited, shared_rate.NextLimitedStart(max_rate));
+  }
+  hold.known_until = hold.until;
+  extend(HoldReason::kRefused, refused_until);
+  if (checked && has_health_check &&
+      check.At(now) == BackendCheck::State::kFailed) {
+    extend(HoldReason::kUnhealthy, TimePoint::max());
+  }
+  return hold;
+}
+
 uint32_t Backend::AllowedSlots(uint32_t warmup_requests, bool pool_warm) const {
   double share = weight;
   if (pool_warm && served < warmup_requests) {
--- a/src/steer/balance_backend.h
+++ b/src/steer/balance_backend.h
@@ -2,6 +2,7 @@
 #define COMFREYSTAND_SRC_STEER_BALANCE_BACKEND_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "comfreystand/base.h"
 #include "comfreystand/steer/dispatch.h"
@@ -15,14 +16,33 @@
 // trial requests only.
 constexpr double kEjectedWeight = 0.05;
 
+// Whether and until when a node sends no request to a backend server.
+struct SendHold {
+  HoldReason reason = HoldReason::kNone;
+  // TimePoint::max() when no time ends it.
+  TimePoint until{};
+  // The part of `until` that is known; the rest is estimated.
+  TimePoint known_until{};
+
+  bool IsActive(TimePoint now) const { return until > now; }
+};
+
 // State of one backend server as seen by one node.
 struct Backend {
   // Applies an update from the driver. Returns true when the pool has to be
   // rebuilt because of it.
   bool Apply(const BackendUpdate& update);
 
-  // Records that the backend server announced that it is leaving.
+  // Excludes the backend server from requests until its next incarnation.
   void MarkLeaving();
+  // Record what the process said of itself, which also binds its later
+  // incarnations: it is leaving, or wants no requests for so long.
+  void OnSaidLeaving();
+  void OnAskedToWait(TimePoint now, Duration wait);
+
+  // Whether this node may send a request now, and if not, why and until when.
+  // `checked` requires a recent probe that found it healthy.
+  SendHold HoldAt(TimePoint now, bool checked) const;
 
   bool IsLimited() const { return max_rate < kUnlimitedRate; }
   bool IsEjected() const { return weight <= kEjectedWeight; }
@@ -81,6 +101,7 @@
   Incarnation incarnation;
 
   uint64_t key = 0;
+  uint64_t process = 0;
   bool suspended = false;
   TimePoint cold_until;
   double cold_rate = 0;
@@ -90,6 +111,8 @@
   bool has_health_check = false;
   // Used while the states of the backend servers are uncertain.
   BackendCheck check;
+  // Incarnation that the probe in flight was sent to.
+  std::optional<Incarnation> probed_incarnation;
 
   uint32_t in_flight = 0;
   uint32_t long_in_flight = 0;
@@ -105,8 +128,12 @@
   TimePoint next_probe;
   // Receives no requests until then, because it refused one for lack of slots.
   TimePoint refused_until;
+  // Receives neither requests nor probes until then, because it said so.
+  TimePoint wait_until;
 
  private:
+  // This process announced that it is leaving.
+  bool said_leaving_ = false;
   TimePoint last_progress_;
   uint8_t progress_timeouts_ = 0;
   uint8_t connect_failures_ = 0;
--- a/src/steer/balance_pool.cc
+++ b/src/steer/balance_pool.cc
@@ -61,28 +61,13 @@
          IsRegionAllowed(member, request);
 }
 
-TimePoint ServicePool::NextStart(TimePoint now, const Backend& backend) {
-  TimePoint next = now;
-  if (now < backend.cold_until) {
-    next = std::min(backend.cold_until,
-                    backend.shared_rate.NextColdStart(backend.cold_rate));
-  }
-  if (backend.IsLimited()) {
-    next =
-        std::max(next, backend.shared_rate.NextLimitedStart(backend.max_rate));
-  }
-  return next;
-}
-
 // True when a request that is placed by its object may be sent to the member
 // now.
 bool ServicePool::CanPlace(TimePoint now,
                            const Member& member,
                            const ChoiceRequest& request) const {
   const Backend& backend = At(member.backend);
-  if (!MayServe(member, request) || now < backend.refused_until ||
-      CheckState(now, backend) == BackendCheck::State::kFailed ||
-      NextStart(now, backend) > now) {
+  if (!MayServe(member, request) || HoldOf(now, backend).IsActive(now)) {
     return false;
   }
   const bool cold = now < backend.cold_until;
@@ -148,12 +133,14 @@
            order.RankOf(backend.key) != PlacementOrder::kRanks;
   };
   BackendId unchecked_trial;
-  TimePoint next_start = TimePoint::max();
+  SendHold first_hold{.known_until = TimePoint::max()};
   for (const Member& member : members_) {
     Backend& backend = At(member.backend);
     if (!CanPlace(now, member, request)) {
-      if (MayServe(member, request) && is_preferred(backend)) {
-        next_start = std::min(next_start, NextStart(now, backend));
+      const SendHold hold = HoldOf(now, backend);
+      if (MayServe(member, request) && is_preferred(backend) &&
+          hold.known_until < first_hold.known_until) {
+        first_hold = hold;
       }
       continue;
     }
@@ -170,7 +157,7 @@
     if (!is_preferred(backend)) {
       continue;
     }
-    next_start = std::min(next_start, NextStart(now, backend));
+    first_hold = {.known_until = now};
     if (backend.suspect || backend.IsEjected()) {
       continue;
     }
@@ -187,7 +174,10 @@
   if (!choice.needs_check.IsValid()) {
     choice.needs_check = unchecked_trial;
   }
-  choice.next_start = next_start == TimePoint::max() ? now : next_start;
+  const bool unknown = first_hold.known_until == TimePoint::max() &&
+                       first_hold.reason == HoldReason::kNone;
+  choice.next_start = unknown ? now : first_hold.known_until;
+  choice.hold = first_hold.reason;
   return choice;
 }
 
@@ -225,13 +215,14 @@
     if (!member.in_subset || backend.state != BackendState::kLive) {
       continue;
     }
-    if (IsTrialDue(now, backend, request) && HasFreeSlot(member, request)) {
+    const SendHold hold = HoldOf(now, backend);
+    if (IsTrialDue(now, backend, request) && HasFreeSlot(member, request) &&
+        hold.known_until <= now) {
       OnTrialStart(now, &backend);
       return {.backend = backend.id, .trial = true};
     }
     const bool trial_only = backend.suspect || backend.IsEjected();
-    if (trial_only || now < backend.refused_until ||
-        !HasFreeSlot(member, request)) {
+    if (trial_only || hold.IsActive(now) || !HasFreeSlot(member, request)) {
       continue;
     }
     const double cost = ChoiceCost(now, member, request);
--- a/src/steer/balance_pool.h
+++ b/src/steer/balance_pool.h
@@ -57,10 +57,11 @@
   // A backend server that has to be probed before it gets a request. Without
   // `backend`, it is the one that will be chosen.
   BackendId needs_check;
-  // Without `backend`: the earliest time at which the rates of the preferred
-  // backend servers allow another request; not later than now when it is
-  // unknown.
+  // Without `backend`: the earliest time at which a preferred backend server
+  // may get another request, and what holds it until then; not later than now
+  // when it is unknown.
   TimePoint next_start{};
+  HoldReason hold = HoldReason::kNone;
 };
 
 // Balances the requests of one service over its backend servers, for one node.
@@ -176,8 +177,9 @@
   // True when the member may serve the request once it has room and its rates
   // allow it.
   bool MayServe(const Member& member, const ChoiceRequest& request) const;
-  // Time from which the rates of a backend server allow another request.
-  static TimePoint NextStart(TimePoint now, const Backend& backend);
+  SendHold HoldOf(TimePoint now, const Backend& backend) const {
+    return backend.HoldAt(now, checks_backends_);
+  }
   // State of the last probe; current when no probe is needed.
   BackendCheck::State CheckState(TimePoint now, const Backend& backend) const;
   double MedianSlowness(TimePoint now);
--- a/src/steer/dispatch_admit.cc
+++ b/src/steer/dispatch_admit.cc
@@ -192,7 +192,7 @@
       queue.OnServed(next.entry);
     } else {
       queue.Restore(next.entry);
-      RejectIfTooLate(now, next.entry.request);
+      RejectIfTooLate(now, service, next.entry.request);
     }
   }
 }
@@ -207,24 +207,34 @@
   RequestCheck(now, choice.needs_check);
   if (!choice.backend.IsValid()) {
     request->next_start = choice.next_start;
+    request->hold = choice.hold;
     return false;
   }
   request->queued = false;
+  request->hold = HoldReason::kNone;
   --queued_;
   StartAttempt(now, handle, request, choice);
   return true;
 }
 
-// Rejects a queued request at once when no backend server may serve it before
-// its latest start.
-void DispatcherCore::RejectIfTooLate(TimePoint now, RequestHandle handle) {
+void DispatcherCore::RejectIfTooLate(TimePoint now,
+                                     Service* service,
+                                     RequestHandle handle) {
   Request* request = requests_.Find(handle);
+  if (!service->pool.HasLiveBackend()) {
+    Reject(handle, request, RejectReason::kNoBackend, limits::kMinRetryAfter);
+    return;
+  }
   if (request->next_start <= request->latest_start) {
     return;
   }
   ++stats_.shed;
-  Reject(handle, request, RejectReason::kOverloaded,
-         RetryAfter(request->traits.service, request->lane));
+  Duration retry_after = RetryAfter(request->traits.service, request->lane);
+  if (request->hold == HoldReason::kAskedToWait) {
+    retry_after = std::clamp<Duration>(request->next_start - now, retry_after,
+                                       limits::kMaxRetryAfter);
+  }
+  Reject(handle, request, RejectReason::kOverloaded, retry_after);
 }
 
 void DispatcherCore::RequestCheck(TimePoint now, BackendId id) {
@@ -236,6 +246,7 @@
     return;
   }
   check.OnSent(now);
+  backends_[id.value].probed_incarnation = backends_[id.value].incarnation;
   ++stats_.probes;
   actions_.push_back({.type = ActionType::kProbe, .backend = id});
 }
--- a/src/steer/dispatch_attempt.cc
+++ b/src/steer/dispatch_attempt.cc
@@ -45,16 +45,11 @@
       service->pool.OnLoadHeader(now, backend);
     }
   }
-  if (report.remaining_cold_time) {
-    backend.cold_until =
-        std::max(backend.cold_until, now + *report.remaining_cold_time);
-  }
-  if (report.max_rate) {
-    backend.max_rate = *report.max_rate;
-  }
-  if (report.leaving || report.from_other_backend) {
-    backend.MarkLeaving();
-    MarkForRebuild(backend.service);
+  RecordStatements(now, *attempt, report);
+  if (report.event == AttemptEvent::kEarlierAnswer) {
+    RebuildPools();
+    StartQueued(now, backend.service);
+    return;
   }
   if (IsTerminal(report.event)) {
     const Attempt ended = *attempt;
@@ -73,6 +68,44 @@
   }
 }
 
+void DispatcherCore::RecordStatements(TimePoint now,
+                                      const Attempt& attempt,
+                                      const AttemptReport& report) {
+  Backend& backend = backends_[attempt.backend.value];
+  if (backend.incarnation != attempt.incarnation) {
+    // Another process may have the name by now.
+    return;
+  }
+  if (report.remaining_cold_time) {
+    backend.cold_until =
+        std::max(backend.cold_until, now + *report.remaining_cold_time);
+  }
+  if (report.max_rate) {
+    backend.max_rate = *report.max_rate;
+  }
+  if (report.wait) {
+    backend.OnAskedToWait(now, *report.wait);
+  }
+  if (report.from_other_backend) {
+    backend.MarkLeaving();
+  }
+  if (report.leaving) {
+    backend.OnSaidLeaving();
+  }
+  if (report.leaving || report.from_other_backend) {
+    MarkForRebuild(backend.service);
+  }
+}
+
+bool DispatcherCore::IsWithdrawn(TimePoint now, AttemptHandle handle) const {
+  const Attempt* attempt = attempts_.Find(handle);
+  if (attempt == nullptr) {
+    return false;
+  }
+  const Backend& backend = backends_[attempt->backend.value];
+  return backend.state != BackendState::kLive || backend.wait_until > now;
+}
+
 void DispatcherCore::StartAttempt(TimePoint now,
                                   RequestHandle handle,
                                   Request* request,
@@ -92,6 +125,7 @@
   attempt->expected = learner_.Expected(attempt->key);
   attempt->started = now;
   Backend& backend = backends_[choice.backend.value];
+  attempt->incarnation = backend.incarnation;
   // Without a learned latency there is nothing to compare this attempt with.
   attempt->excluded_from_slowness = !learner_.HasLearnedClass(attempt->key);
   if (!attempt->excluded_from_slowness) {
@@ -224,6 +258,12 @@
     return;
   }
   if (!request->delivering.IsValid() && request->history.open_attempts == 0) {
+    if (WasWithdrawn(attempt, report) && !request->cancelled_for_deadline) {
+      // Nothing was sent, so that it doesn't count as an attempt.
+      --request->history.attempts;
+      Enqueue(now, attempt.request, request);
+      return;
+    }
     ResendOrReject(now, attempt.request, request, report.event);
   }
 }
--- a/src/steer/dispatch_core.cc
+++ b/src/steer/dispatch_core.cc
@@ -1,6 +1,7 @@
 #include "src/steer/dispatch_core.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "comfreystand/limits.h"
 
@@ -136,13 +137,28 @@
     return;
   }
   Backend& backend = backends_[id.value];
+  const auto probed = std::exchange(backend.probed_incarnation, std::nullopt);
+  if (probed && *probed != backend.incarnation) {
+    // Another process may have the name by now.
+    backend.check = {};
+    StartQueued(now, backend.service);
+    return;
+  }
   backend.check.OnResult(now, report.healthy);
   if (report.remaining_cold_time) {
     backend.cold_until =
         std::max(backend.cold_until, now + *report.remaining_cold_time);
   }
+  if (report.wait) {
+    backend.OnAskedToWait(now, *report.wait);
+  }
+  if (report.leaving) {
+    backend.OnSaidLeaving();
+  }
   if (report.from_other_backend) {
     backend.MarkLeaving();
+  }
+  if (report.leaving || report.from_other_backend) {
     MarkForRebuild(backend.service);
   }
   if (report.healthy && backend.suspect) {
@@ -195,7 +211,8 @@
                       .request = handle,
                       .verdict = verdict,
                       .reason = reason,
-                      .retry_after = not_run ? retry_after : Duration(0)});
+                      .retry_after = not_run ? retry_after : Duration(0),
+                      .hold = request->hold});
   requests_.Destroy(handle);
 }
 
@@ -292,11 +309,12 @@
   }
   for (Backend& backend : backends_) {
     if (!backend.suspect || backend.state != BackendState::kLive ||
-        now < backend.next_probe) {
+        now < std::max(backend.next_probe, backend.wait_until)) {
       continue;
     }
     backend.next_probe = now + ProbeInterval(backend);
     ++stats_.probes;
+    backend.probed_incarnation = backend.incarnation;
     actions_.push_back({.type = ActionType::kProbe, .backend = backend.id});
   }
 }
@@ -376,6 +394,7 @@
   }
   const Backend& backend = backends_[id.value];
   return {.state = backend.state,
+          .wait_until = backend.wait_until,
           .in_flight = backend.in_flight,
           .long_in_flight = backend.long_in_flight,
           .slowness = backend.slowness.Get(next_interval_),
--- a/src/steer/dispatch_core.h
+++ b/src/steer/dispatch_core.h
@@ -39,6 +39,7 @@
   void StopAdmitting() override { admitting_ = false; }
   RequestHandle Submit(TimePoint now, const RequestTraits& traits) override;
   void CancelRequest(TimePoint now, RequestHandle request) override;
+  bool IsWithdrawn(TimePoint now, AttemptHandle attempt) const override;
   void OnAttempt(TimePoint now,
                  AttemptHandle attempt,
                  const AttemptReport& report) override;
@@ -68,6 +69,7 @@
     TimePoint latest_start;
     // While it is queued: as in Choice.
     TimePoint next_start;
+    HoldReason hold = HoldReason::kNone;
     TimePoint hedge_at = TimePoint::max();
     TimePoint timer_at = TimePoint::max();
   };
@@ -75,6 +77,7 @@
   struct Attempt {
     RequestHandle request;
     BackendId backend;
+    Incarnation incarnation;
     ServiceId service;
     WorkKey key;
     uint64_t object = 0;
@@ -120,7 +123,8 @@
   struct WaitingRequest;
   void StartQueuedByPlacement(TimePoint now, Service* service);
   bool StartRequest(TimePoint now, Service* service, RequestHandle handle);
-  void RejectIfTooLate(TimePoint now, RequestHandle handle);
+  // Rejects a queued request at once when it can't start in time.
+  void RejectIfTooLate(TimePoint now, Service* service, RequestHandle handle);
   // Probes a backend server unless a probe is under way.
   void RequestCheck(TimePoint now, BackendId backend);
   Choice ChooseBackend(TimePoint now, Service* service, const Request& request);
@@ -145,9 +149,20 @@
                   AttemptHandle handle,
                   const Attempt& attempt,
                   const AttemptReport& report);
+  // Records what an answer says of its backend server.
+  void RecordStatements(TimePoint now,
+                        const Attempt& attempt,
+                        const AttemptReport& report);
   void RecordAttemptEnd(TimePoint now,
                         const Attempt& attempt,
                         const AttemptReport& report);
+  // Whether an attempt ended before its request was sent, although the caller
+  // waits.
+  static bool WasWithdrawn(const Attempt& attempt,
+                           const AttemptReport& report) {
+    return report.event == AttemptEvent::kCancelledBeforeStart &&
+           !attempt.cancelled && !attempt.progress.written;
+  }
   void LearnLatency(TimePoint now, const Attempt& attempt);
   void ContinueRequest(TimePoint now,
                        AttemptHandle ended,
--- a/src/steer/retry_verdict.cc
+++ b/src/steer/retry_verdict.cc
@@ -4,7 +4,8 @@
 
 bool IsTerminal(AttemptEvent event) {
   return event != AttemptEvent::kWritten &&
-         event != AttemptEvent::kAnswerStarted;
+         event != AttemptEvent::kAnswerStarted &&
+         event != AttemptEvent::kEarlierAnswer;
 }
 
 RunVerdict AttemptVerdict(const AttemptProgress& progress, AttemptEvent event) {
@@ -22,6 +23,7 @@
                  : RunVerdict::kNotRun;
     case AttemptEvent::kWritten:
     case AttemptEvent::kAnswerStarted:
+    case AttemptEvent::kEarlierAnswer:
       break;
   }
   return RunVerdict::kMayHaveRun;
--- a/standins/instance.cc
+++ b/standins/instance.cc
@@ -48,6 +48,9 @@
                      "\r\n" + names::kServerLoad + ": " +
                      std::to_string(busy_) + ",0," +
                      std::to_string(behaviour_.slots) + "\r\n";
+  if (behaviour_.leaving) {
+    text += std::string(names::kServerLeaving) + ": 1\r\n";
+  }
   if (!behaviour_.limit.empty()) {
     text += std::string(names::kServerLimit) + ": " + behaviour_.limit + "\r\n";
   }
@@ -69,7 +72,10 @@
   if (behaviour_.cold_ms > 0) {
     headers.push_back({names::kColdMs, std::to_string(behaviour_.cold_ms)});
   }
-  exchange->Respond(200, "", headers);
+  if (behaviour_.leaving) {
+    headers.push_back({names::kServerLeaving, "1"});
+  }
+  exchange->Respond(behaviour_.leaving ? 503 : 200, "", headers);
 }
 
 void Instance::OnRequest(const ExchangePtr& exchange) {
@@ -89,12 +95,25 @@
     return;
   }
   if (behaviour_.shedding) {
-    exchange->Respond(503, "", {{names::kNotExecuted, "1"}});
+    Refuse(exchange);
     return;
   }
   Run(exchange);
 }
 
+void Instance::Refuse(const ExchangePtr& exchange) {
+  ++refusals_;
+  std::string answer = ResponseHead(exchange, 503) + names::kNotExecuted +
+                       ": 1\r\nContent-Length: 0\r\n";
+  if (!behaviour_.retry_after.empty()) {
+    answer += std::string(names::kRetryAfter) + ": " + behaviour_.retry_after +
+              "\r\n";
+  }
+  previous_answer_ = answer + "\r\n";
+  exchange->SendRaw(previous_answer_);
+  exchange->Finish();
+}
+
 void Instance::Run(const ExchangePtr& exchange) {
   ++run_counts_[RequestHeader(exchange, names::kRequestId)];
   ++total_runs_;
@@ -138,6 +157,9 @@
   const int64_t status = exchange->QueryNumber("status");
   const std::string head =
       ResponseHead(exchange, status == 0 ? 200 : static_cast<int>(status));
+  if (exchange->QueryNumber("again") == 1) {
+    exchange->SendRaw(previous_answer_);
+  }
   const std::string body(
       static_cast<size_t>(exchange->QueryNumber("bytes")) + 4, 'x');
   const std::string length =
--- a/standins/instance.h
+++ b/standins/instance.h
@@ -24,6 +24,10 @@
   std::string limit;
   // Remaining cold time that health checks tell, milliseconds.
   int64_t cold_ms = 0;
+  // All answers say that it leaves.
+  bool leaving = false;
+  // Time for which refusals ask to wait, seconds; none when empty.
+  std::string retry_after;
 };
 
 // The query of a request may set:
@@ -36,6 +40,7 @@
 // chunked=1   chunked response with a body of 4 bytes
 // extra=1     a second response follows the first
 // early=1     responds before the request body has been received
+// again=1     the previous answer is written once more before the response
 // stamp=0     response without the header with the instance name
 class Instance {
  public:
@@ -54,6 +59,7 @@
   int RunCount(const std::string& request_id) const;
   int total_runs() const { return total_runs_; }
   int health_checks() const { return health_checks_; }
+  int refusals() const { return refusals_; }
   int busy() const { return busy_; }
   // Executions whose caller disconnected before their end.
   int cancelled() const { return cancelled_; }
@@ -66,6 +72,7 @@
   void OnHead(const ExchangePtr& exchange);
   void AnswerHealthCheck(const ExchangePtr& exchange);
   void OnRequest(const ExchangePtr& exchange);
+  void Refuse(const ExchangePtr& exchange);
   void Run(const ExchangePtr& exchange);
   void SendResponse(const ExchangePtr& exchange);
   std::string ResponseHead(const ExchangePtr& exchange, int status) const;
@@ -78,6 +85,9 @@
   std::map<std::string, int> run_counts_;
   int total_runs_ = 0;
   int health_checks_ = 0;
+  int refusals_ = 0;
+  // Last answer to a request that was not executed or did not set `again`.
+  std::string previous_answer_;
   int busy_ = 0;
   int cancelled_ = 0;
   std::vector<std::function<void()>> held_requests_;
--- a/tests/platform_relay_test.cc
+++ b/tests/platform_relay_test.cc
@@ -283,6 +283,88 @@
   }
 }
 
+TEST_CASE("reading for how long a backend server wants no requests") {
+  using std::chrono::milliseconds;
+  using std::chrono::seconds;
+  struct Case {
+    int status;
+    std::string text;
+    std::optional<Duration> wait;
+  };
+  const Case cases[] = {
+      {503, "3", seconds(3)},
+      {503, "0.25", milliseconds(250)},
+      {503, " 2 ", seconds(2)},
+      {429, "1", seconds(1)},
+      {503, "99999999999999999999", std::chrono::hours(1)},
+      {503, "0", std::nullopt},
+      {503, "-1", std::nullopt},
+      {503, "", std::nullopt},
+      {503, "soon", std::nullopt},
+      {503, "1e3", std::nullopt},
+      {503, "nan", std::nullopt},
+      {503, "2 s", std::nullopt},
+      {503, "Wed, 21 Oct 2026 07:28:00 GMT", std::nullopt},
+      {500, "3", std::nullopt},
+      {421, "3", std::nullopt},
+      {200, "3", std::nullopt},
+  };
+  Fixture fixture;
+  const edge::HeaderField name = {"Comfreystand-Instance-Id", "i-0"};
+  for (const Case& c : cases) {
+    CAPTURE(c.status);
+    CAPTURE(c.text);
+    AnswerHead head;
+    head.status = c.status;
+    head.headers = {{"Comfreystand-Not-Executed", "1"},
+                    {"Retry-After", std::string(edge::TrimSpace(c.text))}};
+    CHECK(fixture.protocol.ReadAnswer(head, {}).wait == c.wait);
+    head.headers.push_back(name);
+    CHECK(fixture.protocol.ReadHealth(head, "i-0").wait == c.wait);
+    CHECK_FALSE(fixture.protocol.ReadHealth(head, "i-1").wait);
+  }
+  SUBCASE("which is not passed on to callers") {
+    CHECK_FALSE(fixture.protocol.ForwardsAnswerHeader("retry-after"));
+    CHECK(fixture.protocol.ForwardsAnswerHeader("Server-Leaving"));
+  }
+}
+
+TEST_CASE("reading whether a backend server leaves") {
+  struct Case {
+    const char* name;
+    int status;
+    std::vector<edge::HeaderField> headers;
+    bool leaving;
+  };
+  const edge::HeaderField leaving = {"server-leaving", "1"};
+  const edge::HeaderField stamp = {"Comfreystand-Server-Stamp", "s"};
+  const Case cases[] = {
+      {"an answer", 200, {stamp, leaving}, true},
+      {"a failure", 500, {stamp, leaving}, true},
+      {"a refusal", 503, {{"Comfreystand-Not-Executed", "1"}, leaving}, true},
+      {"an answer to an earlier request",
+       200,
+       {{"Comfreystand-Request-Id", "other"}, leaving},
+       true},
+      {"another backend server", 421, {leaving}, false},
+      {"an answer without it", 200, {stamp}, false},
+      {"an answer that denies it",
+       200,
+       {stamp, {"Server-Leaving", "0"}},
+       false},
+  };
+  Fixture fixture;
+  for (const Case& c : cases) {
+    CAPTURE(std::string(c.name));
+    AnswerHead head;
+    head.status = c.status;
+    head.headers = c.headers;
+    const AnswerInfo info = fixture.protocol.ReadAnswer(
+        head, {.name = "", .backend_name = "", .request_id = "9c41"});
+    CHECK(info.leaving == c.leaving);
+  }
+}
+
 TEST_CASE("reading the answer to a health check") {
   const std::string own = "i-0";
   struct Case {
