--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -1,5 +1,6 @@
 #include "comfreystand/http_client.h"
 
+#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -23,6 +24,13 @@
 namespace comfreystand::http {
 namespace {
 
+// Names would be looked up with calls that block.
+bool IsNumeric(const std::string& host) {
+  in6_addr address;
+  return inet_pton(AF_INET, host.c_str(), &address) == 1 ||
+         inet_pton(AF_INET6, host.c_str(), &address) == 1;
+}
+
 constexpr std::array<evhttp_cmd_type, 4> kCommands = {
     EVHTTP_REQ_GET, EVHTTP_REQ_PUT, EVHTTP_REQ_POST, EVHTTP_REQ_DELETE};
 
@@ -100,7 +108,7 @@
               static_cast<Impl*>(self)->shared_from_this()->RunDeferred();
             },
             this)) {
-    valid_ = ParseAddress(address, &host_, &port_);
+    valid_ = ParseAddress(address, &host_, &port_) && IsNumeric(host_);
   }
 
   ~Impl() { Close(); }
