Don't take an answer that is written once more for the one that is due

Report of other operators: clients were told 'not run' for requests that an instance had run (REFUSED), or such a request ran twice (TWICE). It happened here in two ways: a request that was refused and sent again on the same kept connection has the same id, so the refusal written once more was taken for its new answer; and an answer without an id on a kept connection, a 503 or a 421, was taken for the answer to whatever waited.

A connection that has carried a request before isn't used for it again.

--- a/include/comfreystand/relay_protocol.h
+++ b/include/comfreystand/relay_protocol.h
@@ -132,6 +132,9 @@
   std::string request_id;
   // Time until the deadline of the attempt.
   Duration time_left{0};
+  // Earlier answers have arrived on the connection, and may be written once
+  // more.
+  bool reused_connection = false;
 };
 
 // What the head of a backend server's answer says about the attempt.
--- a/src/edge/backend_pool.cc
+++ b/src/edge/backend_pool.cc
@@ -1,6 +1,7 @@
 #include "src/edge/backend_pool.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace comfreystand::edge {
@@ -73,23 +74,31 @@
   return found != backends_.end() && found->second.open > 0;
 }
 
-HttpConnection* BackendPool::Acquire(BackendId id) {
+HttpConnection* BackendPool::Acquire(BackendId id,
+                                     std::span<const uint64_t> except) {
   const auto found = backends_.find(id);
   if (found == backends_.end()) {
     return nullptr;
   }
   Backend& backend = found->second;
-  while (!backend.idle.empty()) {
-    HttpConnection* connection = backend.idle.back();
-    backend.idle.pop_back();
-    if (IsStale(connection)) {
-      connection->Close();
-      continue;
+  const auto is_usable = [&](const HttpConnection* connection) {
+    return std::find(except.begin(), except.end(), SerialOf(connection)) ==
+           except.end();
+  };
+  while (true) {
+    const auto last =
+        std::find_if(backend.idle.rbegin(), backend.idle.rend(), is_usable);
+    if (last == backend.idle.rend()) {
+      return Open(id, &backend);
     }
-    ++stats_->connections_reused;
-    return connection;
+    HttpConnection* connection = *last;
+    backend.idle.erase(std::next(last).base());
+    if (!IsStale(connection)) {
+      ++stats_->connections_reused;
+      return connection;
+    }
+    connection->Close();
   }
-  return Open(id, &backend);
 }
 
 HttpConnection* BackendPool::Open(BackendId id, Backend* backend) {
--- a/src/edge/backend_pool.h
+++ b/src/edge/backend_pool.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -38,7 +39,13 @@
   // Returns an idle connection, or a new one that is still connecting. Returns
   // null when the backend server is unknown, a limit is reached or no socket
   // could be opened.
-  HttpConnection* Acquire(BackendId backend);
+  // Connections whose serial numbers are in `except` are not reused.
+  HttpConnection* Acquire(BackendId backend,
+                          std::span<const uint64_t> except = {});
+  // Number of a connection, another one for each.
+  uint64_t SerialOf(const HttpConnection* connection) const {
+    return entries_.at(connection).serial;
+  }
 
   // Counts `unresponsive` and closes the idle connections to the same backend
   // server that were opened before it.
@@ -92,7 +99,7 @@
   std::unordered_map<BackendId, Backend> backends_;
   std::vector<BackendId> backend_ids_;
   std::unordered_map<const HttpConnection*, Entry> entries_;
-  uint64_t next_serial_ = 0;
+  uint64_t next_serial_ = 1;
   // Closed connections. Destroyed by `destroy_closed_event_`, since OnClosed()
   // is called from inside the connection.
   std::vector<std::unique_ptr<HttpConnection>> closed_;
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -77,6 +77,8 @@
     std::optional<steer::LoadHeader> load;
     std::optional<Duration> remaining_cold_time;
     std::optional<double> max_rate;
+    // Of the connection; zero when there was none.
+    uint64_t connection_serial = 0;
     bool leaving = false;
     std::optional<Duration> wait;
   };
--- a/src/edge/server_actions.cc
+++ b/src/edge/server_actions.cc
@@ -78,10 +78,14 @@
         {.event = steer::AttemptEvent::kCancelledBeforeStart});
     return;
   }
+  const bool is_pending = relay && relay->state() == Relay::State::kPending;
+  HttpConnection* connection =
+      is_pending ? AcquireConnection(relay, action.backend) : nullptr;
   AttemptInfo info;
   info.name = attempt_prefix_ + std::to_string(action.attempt.value);
   info.backend_name = backend_pool_.NameOf(action.backend);
   info.time_left = action.deadline - now;
+  info.reused_connection = connection && connection->connected();
   if (relay) {
     info.request_id = relay->request().request_id;
   }
@@ -91,24 +95,38 @@
       init_.cancel_timeout, this);
   Attempt* attempt = owned.get();
   if (relay) {
-    relay->attempt_records().push_back({.handle = action.attempt,
-                                        .backend = attempt->info().backend_name,
-                                        .started = now,
-                                        .ended = {},
-                                        .load = {},
-                                        .remaining_cold_time = {},
-                                        .max_rate = {},
-                                        .leaving = false,
-                                        .wait = {}});
+    relay->attempt_records().push_back(
+        {.handle = action.attempt,
+         .backend = attempt->info().backend_name,
+         .started = now,
+         .ended = {},
+         .load = {},
+         .remaining_cold_time = {},
+         .max_rate = {},
+         .connection_serial =
+             connection ? backend_pool_.SerialOf(connection) : 0,
+         .leaving = false,
+         .wait = {}});
   }
   attempts_[action.attempt] = std::move(owned);
   ++stats_.attempts;
-  if (!relay || relay->state() != Relay::State::kPending) {
+  if (!is_pending) {
     attempt->Discard();
     attempt->Start(nullptr, nullptr, false);
     return;
   }
-  relay->StartAttempt(attempt, backend_pool_.Acquire(action.backend));
+  relay->StartAttempt(attempt, connection);
+}
+
+// A connection that has carried the request before isn't used for it again: an
+// answer that is written once more there would be taken for the new one.
+HttpConnection* Server::Impl::AcquireConnection(Relay* relay,
+                                                BackendId backend) {
+  std::vector<uint64_t> used;
+  for (const Relay::AttemptRecord& record : relay->attempt_records()) {
+    used.push_back(record.connection_serial);
+  }
+  return backend_pool_.Acquire(backend, used);
 }
 
 void Server::Impl::OnCancelAttempt(const steer::Action& action) {
--- a/src/edge/server_impl.h
+++ b/src/edge/server_impl.h
@@ -106,6 +106,7 @@
   void RunActions();
   // Logs a finished request and notifies the observer.
   void RecordFinishedRequest(Relay* relay, RequestEnd end);
+  HttpConnection* AcquireConnection(Relay* relay, BackendId backend);
   void LogStatements(BackendId backend,
                      const std::string& request_id,
                      bool leaving,
--- /dev/null
+++ b/tests/faulty_answers_test.cc
@@ -0,0 +1,113 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+
+#include "tests/support/gateway_fixture.h"
+#include "tests/support/scripted_server.h"
+
+// Backend servers whose answers are repeated, or end in their heads.
+namespace comfreystand::platform {
+namespace {
+
+using testing::GatewayFixture;
+using testing::GatewayRequest;
+using testing::ScriptedServer;
+
+std::string Answer(int status,
+                   const std::string& id,
+                   const std::string& more = {}) {
+  std::string text = "HTTP/1.1 " + std::to_string(status) + " X\r\n";
+  if (!id.empty()) {
+    text += "Comfreystand-Request-Id: " + id + "\r\n";
+  }
+  return text + more;
+}
+
+std::string Refusal(const std::string& id) {
+  return Answer(503, id,
+                "Comfreystand-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+}
+
+std::string Success(const std::string& id) {
+  return Answer(200, id,
+                "Comfreystand-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok");
+}
+
+// Whether a status promises that the request has not run and will not run.
+bool PromisesNotRun(int status) {
+  return status == 503 || status == 429 || status == 421 || status == 408;
+}
+
+TEST_CASE("a refusal that is written once more on a kept connection") {
+  GatewayFixture fixture(0);
+  int requests = 0;
+  bool executed = false;
+  std::string repeated;
+  // Refuses the first request. Executes each later one, but writes a refusal
+  // once more first when the connection has carried one before.
+  size_t refused_on = SIZE_MAX;
+  ScriptedServer server(
+      fixture.loop.base(), [&](size_t connection, const std::string& head) {
+        const size_t at = head.find("Request-Id: ") + 12;
+        const std::string id = head.substr(at, head.find('\r', at) - at);
+        if (requests++ == 0) {
+          refused_on = connection;
+          return repeated.empty() ? Refusal(id) : Success(id);
+        }
+        executed = true;
+        const std::string before = repeated.empty() ? Refusal(id) : repeated;
+        return (connection == refused_on ? before : "") + Success(id);
+      });
+  fixture.RegisterAt("i-0", server.address());
+  REQUIRE(fixture.WaitUntilBackendsReady(1));
+  SUBCASE("is not taken for the answer to the request that is sent again") {
+    const auto caller =
+        fixture.SendAndWait(GatewayRequest("POST", "/book/a", "r1", "", "b"));
+    CHECK(executed);
+    CHECK(caller->LastStatus() == 200);
+  }
+  SUBCASE("is not taken for the answer to another request") {
+    SUBCASE("by its id") {
+      repeated = Refusal("r0");
+    }
+    SUBCASE("without one") {
+      repeated = Refusal("");
+    }
+    SUBCASE("of another backend server, without one") {
+      repeated = Answer(421, "", "Content-Length: 0\r\n\r\n");
+    }
+    REQUIRE(
+        fixture.SendAndWait(GatewayRequest("POST", "/book/a", "r1", "", "b"))
+            ->LastStatus() == 200);
+    const auto caller =
+        fixture.SendAndWait(GatewayRequest("POST", "/book/a", "r2", "", "b"));
+    CHECK(executed);
+    CHECK(requests == 2);
+    CHECK_FALSE(PromisesNotRun(caller->LastStatus()));
+  }
+}
+
+TEST_CASE("an answer that ends in its head is never delivered as complete") {
+  const std::string whole = Success("r");
+  const size_t head_size = whole.size() - 2;
+  for (size_t kept = 1; kept < head_size; ++kept) {
+    CAPTURE(kept);
+    GatewayFixture fixture(0);
+    ScriptedServer* opened = nullptr;
+    ScriptedServer server(fixture.loop.base(),
+                          [&](size_t connection, const std::string&) {
+                            opened->CloseAfterFlush(connection);
+                            return whole.substr(0, kept);
+                          });
+    opened = &server;
+    fixture.RegisterAt("i-0", server.address());
+    REQUIRE(fixture.WaitUntilBackendsReady(1));
+    const auto caller =
+        fixture.SendAndWait(GatewayRequest("POST", "/book/a", "r", "", "b"));
+    CHECK(caller->LastStatus() == 502);
+  }
+}
+
+}  // namespace
+}  // namespace comfreystand::platform
