Check the framing of chunked bodies before they are parsed

ChunkedFraming checks lengths, line ends and trailers of requests and answers, on every platform alike; the head of a message goes to the parser in a piece of its own, so that no byte of a body is parsed unchecked.

--- a/src/edge/caller_connection.h
+++ b/src/edge/caller_connection.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "comfreystand/relay_protocol.h"
+#include "src/edge/chunked_framing.h"
 #include "src/loop/event_handles.h"
 
 namespace comfreystand::edge {
@@ -163,6 +164,9 @@
   void SetTimer();
   void OnTimer();
   bool IsReadingBody() const { return reading_reply_ != nullptr; }
+  bool IsReadingChunks() const {
+    return IsReadingBody() && reading_reply_->head.content_length < 0;
+  }
   // Whether another request may be read.
   bool CanReadRequest() const;
 
@@ -179,6 +183,8 @@
   std::unique_ptr<Reply> incoming_reply_;
   // The request whose body is being read.
   Reply* reading_reply_ = nullptr;
+  // Of its body, when it is sent in chunks.
+  ChunkedFraming framing_;
   size_t header_bytes_ = 0;
   // Part of a request line has arrived.
   bool request_line_begun_ = false;
--- a/src/edge/caller_connection_parse.cc
+++ b/src/edge/caller_connection_parse.cc
@@ -48,9 +48,13 @@
 // Passes the first contiguous piece of `input` to the parser. Returns false
 // when no further input may be parsed.
 bool CallerConnection::ParseInput(evbuffer* input) {
+  const std::string_view piece = FirstPiece(input, !IsReadingBody());
+  if (IsReadingChunks() && !framing_.Check(piece)) {
+    OnParseError(false);
+    return false;
+  }
   parsing_ = true;
-  const auto [size, parsed] =
-      ParseFirstPiece(parser_.get(), ParserHooks(), input);
+  const auto [size, parsed] = ParsePiece(parser_.get(), ParserHooks(), piece);
   parsing_ = false;
   if (abort_pending_) {
     return false;
@@ -193,6 +197,7 @@
   head_begun_ = false;
   replies_.push_back(std::move(incoming_reply_));
   reading_reply_ = replies_.back().get();
+  framing_ = {};
   reading_reply_->close_after =
       htparser_should_keep_alive(parser_.get()) == 0 ||
       !reading_reply_->head.http11;
--- a/src/edge/http_connection.cc
+++ b/src/edge/http_connection.cc
@@ -151,6 +151,7 @@
   body_until_close_ = false;
   keep_alive_ = true;
   chunked_ = false;
+  framing_ = {};
   bad_framing_ = false;
   skipping_answer_ = false;
 }
@@ -255,9 +256,13 @@
 }
 
 bool HttpConnection::ParseInput(evbuffer* input) {
+  const std::string_view piece = FirstPiece(input, !head_done_);
+  if (head_done_ && chunked_ && !framing_.Check(piece)) {
+    Fail(ExchangeFailure::kBroken);
+    return false;
+  }
   parsing_ = true;
-  const auto [size, parsed] =
-      ParseFirstPiece(parser_.get(), ParserHooks(), input);
+  const auto [size, parsed] = ParsePiece(parser_.get(), ParserHooks(), piece);
   parsing_ = false;
   bytes_since_body_ += parsed;
   const size_t max_bytes_since_body = skipping_answer_
--- a/src/edge/http_connection.h
+++ b/src/edge/http_connection.h
@@ -13,6 +13,7 @@
 
 #include "comfreystand/base.h"
 #include "comfreystand/relay_protocol.h"
+#include "src/edge/chunked_framing.h"
 #include "src/loop/event_handles.h"
 
 namespace comfreystand::edge {
@@ -164,6 +165,8 @@
   bool body_until_close_ = false;
   bool keep_alive_ = true;
   bool chunked_ = false;
+  // Of the body, when it is sent in chunks.
+  ChunkedFraming framing_;
   bool bad_framing_ = false;
   // The answer being read belongs to an earlier request.
   bool skipping_answer_ = false;
--- a/tests/faulty_answers_test.cc
+++ b/tests/faulty_answers_test.cc
@@ -88,6 +88,25 @@
   }
 }
 
+TEST_CASE("an answer with a malformed chunk is never delivered as complete") {
+  const std::string head = Answer(200, "r",
+                                  "Comfreystand-Server-Stamp: s\r\n"
+                                  "Transfer-Encoding: chunked\r\n\r\n");
+  for (const char* body : {"zz\r\nok\r\n0\r\n\r\n", "-2\r\nok\r\n0\r\n\r\n",
+                           "2\r\nok0\r\n\r\n", "2\r\nok\r\n\r\n"}) {
+    CAPTURE(std::string(body));
+    GatewayFixture fixture(0);
+    ScriptedServer server(fixture.loop.base(), [&](size_t, const std::string&) {
+      return head + body;
+    });
+    fixture.RegisterAt("i-0", server.address());
+    REQUIRE(fixture.WaitUntilBackendsReady(1));
+    const auto caller =
+        fixture.SendAndWait(GatewayRequest("POST", "/book/a", "r", "", "b"));
+    CHECK(caller->LastStatus() == 502);
+  }
+}
+
 TEST_CASE("an answer that ends in its head is never delivered as complete") {
   const std::string whole = Success("r");
   const size_t head_size = whole.size() - 2;
