Send nothing on a connection that is given up while it is established (TWICE)

Cause: the connection was closed in the callback that reports it established, but libevent sends what is in the buffer after that callback, also when the bufferevent has been freed in it. The request arrived, ran, and was sent to another backend server as not sent. Requests of callers that had left were sent in the same way before.

--- a/src/edge/http_connection.cc
+++ b/src/edge/http_connection.cc
@@ -431,6 +431,9 @@
   }
   state_ = State::kClosed;
   evbuffer_remove_cb_entry(bufferevent_get_output(bev_), output_callback_);
+  // A bufferevent that is freed in its own callback still sends what it has,
+  // unless writing is disabled.
+  bufferevent_disable(bev_, EV_READ | EV_WRITE);
   bufferevent_free(bev_);
   bev_ = nullptr;
   Exchange* exchange = exchange_;
