--- a/include/comfreystand/steer/dispatch.h
+++ b/include/comfreystand/steer/dispatch.h
@@ -210,6 +210,9 @@
   double cold_rate = 0;
   // Whether a probe tells its state.
   bool has_health_check = false;
+  // Until then it is probed before its first request: it may have turned cold
+  // before this node knew of it.
+  TimePoint verify_until{};
 };
 
 // The live nodes, known to this node, that share the backend servers.
--- a/src/gateway/backend_registry.cc
+++ b/src/gateway/backend_registry.cc
@@ -238,6 +238,15 @@
   }
 }
 
+void BackendRegistry::OnListed(TimePoint now) {
+  for (auto& [name, record] : records_) {
+    if (const TrafficService* service = ServiceOf(record)) {
+      record.verify_until = now + service->cold_time;
+      QueueUpdate(record);
+    }
+  }
+}
+
 void BackendRegistry::OnStoreLost() {
   store_recovery_.OnLost();
   others_served_ = false;
@@ -314,6 +323,7 @@
   }
   update.suspended = evacuated_domains_.contains(record.entry.domain);
   update.cold_until = record.cold_until;
+  update.verify_until = record.verify_until;
   if (const TrafficService* service = ServiceOf(record)) {
     update.cold_rate = service->cold_rate;
     update.has_health_check = !service->health_path.empty();
--- a/src/gateway/backend_registry.h
+++ b/src/gateway/backend_registry.h
@@ -31,6 +31,10 @@
   void Remove(const std::string& name, TimePoint now);
   void SetEvacuated(const std::string& domain, bool evacuated, TimePoint now);
   void SetServices(const std::vector<TrafficService>& services);
+  // The first list is complete. Failure domains may have been taken back
+  // shortly before, so that its backend servers may be cold without having said
+  // so.
+  void OnListed(TimePoint now);
   void OnStoreLost();
   void OnStoreRegained(TimePoint now) { store_recovery_.OnRegained(now); }
   // Other nodes had the store all the time since it was lost to this one, so
@@ -68,6 +72,8 @@
     TimePoint min_cold_until{};
     // The registration is missing, but the store may have lost it.
     bool missing = false;
+    // The backend server's state may be another one until then.
+    TimePoint verify_until{};
     // This incarnation has announced that it drains; this can't be revoked.
     bool drain_announced = false;
   };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -98,6 +98,7 @@
          .idle_timeout = limits.idle_timeout});
     backends_.SetServices(config.services);
     routes_ = std::make_unique<RouteTable>(std::move(config), &services_);
+    VerifyListedBackends();
     Publish();
   }
 
@@ -114,6 +115,7 @@
 
   void OnBackendsListed() {
     backends_listed_ = true;
+    VerifyListedBackends();
     Publish();
   }
 
@@ -294,6 +296,14 @@
     PublishSoon();
   }
 
+  // Once both the backend servers and their services are known.
+  void VerifyListedBackends() {
+    if (!backends_verified_ && backends_listed_ && routes_) {
+      backends_verified_ = true;
+      backends_.OnListed(loop_->Now());
+    }
+  }
+
   // Changes arrive in batches; the dispatcher and the server are updated once
   // per batch.
   void PublishSoon() {
@@ -396,6 +406,7 @@
   std::function<void()> on_stopped_;
   TimePoint stop_requested_at_{};
   bool backends_listed_ = false;
+  bool backends_verified_ = false;
   bool store_readable_ = true;
   bool stopping_ = false;
   bool refusing_ = false;
--- a/src/steer/backend_check.h
+++ b/src/steer/backend_check.h
@@ -22,6 +22,8 @@
   };
 
   State At(TimePoint now) const;
+  // Whether any check has ended.
+  bool has_result() const { return finished_at_ != TimePoint(); }
   void OnSent(TimePoint now);
   void OnResult(TimePoint now, bool healthy);
 
--- a/src/steer/balance_backend.cc
+++ b/src/steer/balance_backend.cc
@@ -63,6 +63,7 @@
                                 : update.cold_until;
   cold_rate = update.cold_rate;
   has_health_check = update.has_health_check;
+  verify_until = update.verify_until;
   id = update.backend;
   service = update.service;
   domain = update.domain;
@@ -85,7 +86,14 @@
   wait_until = std::max(wait_until, now + wait);
 }
 
-SendHold Backend::HoldAt(TimePoint now, bool checked) const {
+BackendCheck::State Backend::CheckAt(TimePoint now, bool uncertain) const {
+  const bool first = now < verify_until && !check.has_result();
+  return has_health_check && (uncertain || first)
+             ? check.At(now)
+             : BackendCheck::State::kCurrent;
+}
+
+SendHold Backend::HoldAt(TimePoint now, bool uncertain) const {
   if (state != BackendState::kLive) {
     return {HoldReason::kLeaving, TimePoint::max(), TimePoint::max()};
   }
@@ -109,8 +117,7 @@
   }
   hold.known_until = hold.until;
   extend(HoldReason::kRefused, refused_until);
-  if (checked && has_health_check &&
-      check.At(now) == BackendCheck::State::kFailed) {
+  if (CheckAt(now, uncertain) == BackendCheck::State::kFailed) {
     extend(HoldReason::kUnhealthy, TimePoint::max());
   }
   return hold;
--- a/src/steer/balance_backend.h
+++ b/src/steer/balance_backend.h
@@ -40,9 +40,11 @@
   void OnSaidLeaving();
   void OnAskedToWait(TimePoint now, Duration wait);
 
+  // State of the probe that a request needs, or kCurrent when it needs none.
+  // `uncertain`: the states of all backend servers may have changed unnoticed.
+  BackendCheck::State CheckAt(TimePoint now, bool uncertain) const;
   // Whether this node may send a request now, and if not, why and until when.
-  // `checked` requires a recent probe that found it healthy.
-  SendHold HoldAt(TimePoint now, bool checked) const;
+  SendHold HoldAt(TimePoint now, bool uncertain) const;
 
   bool IsLimited() const { return max_rate < kUnlimitedRate; }
   bool IsEjected() const { return weight <= kEjectedWeight; }
@@ -109,6 +111,7 @@
   double max_rate = kUnlimitedRate;
   SharedRate shared_rate;
   bool has_health_check = false;
+  TimePoint verify_until;
   // Used while the states of the backend servers are uncertain.
   BackendCheck check;
   // Incarnation that the probe in flight was sent to.
--- a/src/steer/balance_pool.cc
+++ b/src/steer/balance_pool.cc
@@ -78,13 +78,6 @@
          backend.slots + tuning_->placement.max_backlog;
 }
 
-BackendCheck::State ServicePool::CheckState(TimePoint now,
-                                            const Backend& backend) const {
-  return checks_backends_ && backend.has_health_check
-             ? backend.check.At(now)
-             : BackendCheck::State::kCurrent;
-}
-
 PlacementOrder ServicePool::PlacementOrderFor(
     const ChoiceRequest& request) const {
   PlacementOrder order(request.work.object, region_shift_.share());
--- a/src/steer/balance_pool.h
+++ b/src/steer/balance_pool.h
@@ -180,8 +180,10 @@
   SendHold HoldOf(TimePoint now, const Backend& backend) const {
     return backend.HoldAt(now, checks_backends_);
   }
-  // State of the last probe; current when no probe is needed.
-  BackendCheck::State CheckState(TimePoint now, const Backend& backend) const;
+  // State of the probe that a request needs; current when it needs none.
+  BackendCheck::State CheckState(TimePoint now, const Backend& backend) const {
+    return backend.CheckAt(now, checks_backends_);
+  }
   double MedianSlowness(TimePoint now);
   // Adjusts the weight of a member by its slowness relative to the median.
   // Returns true when the member has become ejected.
--- a/tests/gateway_store_refusal_test.cc
+++ b/tests/gateway_store_refusal_test.cc
@@ -107,12 +107,43 @@
         [&] { return !fixture.gateway->gateway().GetStats().store_lost; }));
     fixture.WaitUntil(
         [&] { return fixture.gateway->gateway().GetStats().store_readable; });
+    // A node that has just started asks before its first request.
+    REQUIRE(
+        fixture.SendAndWait(testing::GatewayRequest("GET", "/look/a", "first"))
+            ->LastStatus() == 200);
     const int checks = server.health_checks();
     CHECK(runs_of_requests() >= kRequests - 1);
     CHECK(server.health_checks() == checks);
   }
 }
 
+TEST_CASE("a cold backend server is not flooded by a node that starts") {
+  // Its registration doesn't tell yet that it is cold.
+  GatewayFixture fixture(1);
+  standins::Instance& server = *fixture.servers[0];
+  const auto send_requests = [&](int count) {
+    std::vector<std::unique_ptr<testing::RawCaller>> callers;
+    for (int i = 0; i < count; ++i) {
+      callers.push_back(fixture.OpenCaller(
+          testing::GatewayRequest("GET", "/look/a", "r" + std::to_string(i))));
+      standins::RunUntil(&fixture.loop, std::chrono::milliseconds(30),
+                         [] { return false; });
+    }
+    return server.total_runs();
+  };
+  SUBCASE("after the end of an evacuation that it doesn't know of") {
+    server.behaviour().cold_ms = 3'000;
+    REQUIRE(fixture.WaitUntilReady());
+    // The store's configuration: 3.6 requests a second.
+    CHECK(send_requests(30) <= 5);
+  }
+  SUBCASE("and a warm one is asked only once") {
+    REQUIRE(fixture.WaitUntilReady());
+    CHECK(send_requests(30) >= 29);
+    CHECK(server.health_checks() == 1);
+  }
+}
+
 TEST_CASE("nodes that the store turns away still share the fleet's limits") {
   RefusalFixture fixture;
   fixture.path.SetFaults({.reset_new_connections = true});
