--- a/soak/cluster.cc
+++ b/soak/cluster.cc
@@ -161,6 +161,27 @@
 
 void Cluster::WriteConfig() {
   ++config_version_;
+  PutConfig();
+}
+
+void Cluster::RestoreStore() {
+  store_.RestoreCopy(RandomIndex(2) == 0);
+  PostDelayed(RandomDuration(milliseconds(0), milliseconds(1'000)),
+              [this] { WriteEntries(); });
+}
+
+void Cluster::WriteEntries() {
+  PutConfig();
+  for (const auto& backend : backends_) {
+    if (backend->registered) {
+      RegisterBackend(*backend, BackendEntry::State::kReady);
+    } else {
+      store_.Remove(names::kServersPrefix + backend->server.name());
+    }
+  }
+}
+
+void Cluster::PutConfig() {
   TrafficConfig config;
   config.version.value = static_cast<uint64_t>(config_version_);
   config.routes = {
@@ -196,6 +217,8 @@
 
 void Cluster::DrainBackend(Backend* backend) {
   backend->registered = false;
+  // Some say it in their answers before the store has it.
+  backend->server.behaviour().leaving = RandomIndex(2) == 0;
   RegisterBackend(*backend, BackendEntry::State::kDraining);
   constexpr seconds kDrainTime{3};
   PostDelayed(kDrainTime, [this, name = backend->server.name()] {
--- a/soak/cluster.h
+++ b/soak/cluster.h
@@ -71,7 +71,11 @@
   // Restarts gateways whose process has exited, and reports unexpected exits.
   void RestartExitedGateways();
 
+  // Writes the next version of the configuration.
   void WriteConfig();
+  // Restores the store from its last copy. Operators and backend servers then
+  // write again what was lost.
+  void RestoreStore();
   void AddBackend();
   void DrainBackend(Backend* backend);
   void RegisterBackend(const Backend& backend, BackendEntry::State state);
@@ -111,6 +115,9 @@
   };
 
   void WriteSettings(const GatewayNode& node) const;
+  // Writes the entries of operators and backend servers as they are now.
+  void WriteEntries();
+  void PutConfig();
   void SendNextCall(Caller* caller);
   http::Request MakeRequest(Call* call);
 
--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -106,6 +106,11 @@
 void CompactStore(Cluster* cluster) {
   cluster->store().Compact();
 }
+void RestoreStore(Cluster* cluster) {
+  cluster->store().KeepCopy();
+  cluster->PostDelayed(RandomFaultDuration(cluster),
+                       [cluster] { cluster->RestoreStore(); });
+}
 void ChangeConfig(Cluster* cluster) {
   cluster->WriteConfig();
 }
@@ -124,6 +129,15 @@
   }
 }
 
+void AskToWaitAtBackend(Cluster* cluster) {
+  constexpr std::array<const char*, 4> kWaits = {"0.3", "1", "1.5", "soon"};
+  if (Backend* backend = cluster->RandomBackend()) {
+    backend->server.behaviour().retry_after =
+        kWaits[cluster->RandomIndex(kWaits.size())];
+    ShedLoadAtBackend(cluster);
+  }
+}
+
 struct Fault {
   std::string_view name;
   void (*inject)(Cluster* cluster);
@@ -140,9 +154,11 @@
     {"reset a link to a backend server", &ResetBackendLink},
     {"fail the store", &FailStore},
     {"compact the store's history", &CompactStore},
+    {"restore the store", &RestoreStore},
     {"change the configuration", &ChangeConfig},
     {"replace a backend server", &ReplaceBackend},
     {"shed load at a backend server", &ShedLoadAtBackend},
+    {"ask to wait at a backend server", &AskToWaitAtBackend},
 });
 
 }  // namespace
