--- a/src/cli/explain.cc
+++ b/src/cli/explain.cc
@@ -119,6 +119,38 @@
   }
 }
 
+// Maps the field "held_by" of a refused request to the finding that explains
+// it.
+struct HoldRule {
+  const char* held_by;
+  const char* finding;
+};
+
+constexpr std::array<HoldRule, 5> kHoldRules = {{
+    {"asked-to-wait",
+     "the backend server that would have taken it first had asked this node to "
+     "wait"},
+    {"cold", "the backend server that would have taken it first was cold"},
+    {"limited",
+     "the backend server that would have taken it first had named a limit"},
+    {"refused",
+     "the backend server that would have taken it first had just refused "
+     "another request"},
+    {"unhealthy",
+     "the backend server that would have taken it first did not answer a "
+     "health "
+     "check"},
+}};
+
+void AddHold(const LogLine& line, Explanation* explanation) {
+  const std::string held_by = StringField(line, "held_by");
+  for (const HoldRule& rule : kHoldRules) {
+    if (held_by == rule.held_by) {
+      explanation->findings.emplace_back(rule.finding);
+    }
+  }
+}
+
 // Adds a finding for each attempt whose backend server reported that its work
 // took much longer than usual.
 void AddSlowMachines(const LogLine& line, Explanation* explanation) {
@@ -284,6 +316,7 @@
   }
   for (const LogLine& line : explanation.request_lines) {
     AddFailureReason(line, &explanation);
+    AddHold(line, &explanation);
     AddAnswerWait(line, &explanation);
     AddSlowMachines(line, &explanation);
     AddStaleBackendStates(line, &explanation);
--- a/tests/explain_test.cc
+++ b/tests/explain_test.cc
@@ -69,6 +69,27 @@
   }
 }
 
+TEST_CASE("explain tells what held a refused request back") {
+  struct HoldCase {
+    const char* held_by;
+    const char* finding;
+  };
+  const HoldCase cases[] = {{"asked-to-wait", "had asked this node to wait"},
+                            {"cold", "was cold"},
+                            {"limited", "had named a limit"},
+                            {"refused", "had just refused"},
+                            {"unhealthy", "did not answer a health check"}};
+  for (const HoldCase& test_case : cases) {
+    CAPTURE(std::string(test_case.held_by));
+    std::string line = RequestLine("refused", "503", "");
+    line.insert(line.rfind('}'),
+                std::string(R"(,"held_by":")") + test_case.held_by + "\"");
+    const Explanation explanation = ExplainLogs(line);
+    REQUIRE(explanation.findings.size() == 2);
+    CHECK(explanation.findings[1].find(test_case.finding) != std::string::npos);
+  }
+}
+
 TEST_CASE("the explanation of a request") {
   const std::string slow_request =
       RequestLine("answered", "200", "i-1 0+900 answered load=3+1/3 work=250");
--- a/tests/odd_entries_test.cc
+++ b/tests/odd_entries_test.cc
@@ -82,7 +82,7 @@
        Entry("", "")},
       {"a name with spaces", "servers/odd one", Entry("", "")},
       {"no name", "servers/", Entry("", "")},
-      {"bytes that aren't text", "servers/odd", "\xff\xfe\x00\x01"},
+      {"bytes that aren't text", "servers/odd", "\xff\xfe\x01"},
       {"a node with a name for an address", "nodes/odd",
        R"({"address":"127.0.0.1:9","domain":"west-a","region":"west",)"
        R"("peer":"elsewhere.example:80"})"},
@@ -98,14 +98,14 @@
     CAPTURE(std::string(c.name));
     fixture.store.Put(c.key, c.value);
     // A change after the entry shows that it has been read.
-    const int before = fixture.gateway->gateway().GetStats().version.value;
+    const ConfigVersion before = fixture.gateway->gateway().GetStats().version;
     fixture.store.Put("servers/i-last", Entry("", ""));
     CHECK(in_time([&] {
       return fixture.gateway->gateway().GetStats().backends_ready == 3;
     }));
     fixture.store.Remove("servers/i-last");
     CHECK(fixture.WaitUntilBackendsReady(2));
-    CHECK(fixture.gateway->gateway().GetStats().version.value == before);
+    CHECK(fixture.gateway->gateway().GetStats().version == before);
     CHECK(fixture.gateway->gateway().GetStats().nodes == 1);
     CHECK(fixture.SendAndWait(GatewayRequest("GET", "/look/a", "r"))
               ->LastStatus() == 200);
