Tests: one listener on loopback for servers of raw bytes; answer health checks

faulty_answers_test failed since nodes that start ask backend servers once: its server counted the health check as the first request. It answers it now; the checks are the same.

--- a/tests/faulty_answers_test.cc
+++ b/tests/faulty_answers_test.cc
@@ -34,6 +34,17 @@
                 "Comfreystand-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok");
 }
 
+// A node that has just started asks for the state before its first request.
+bool IsHealthCheck(const std::string& head) {
+  return head.starts_with("GET /health ");
+}
+
+std::string HealthyAnswer() {
+  return Answer(200, "",
+                "Comfreystand-Instance-Id: i-0\r\nConnection: close\r\n"
+                "Content-Length: 0\r\n\r\n");
+}
+
 // Whether a status promises that the request has not run and will not run.
 bool PromisesNotRun(int status) {
   return status == 503 || status == 429 || status == 421 || status == 408;
@@ -49,6 +60,9 @@
   size_t refused_on = SIZE_MAX;
   ScriptedServer server(
       fixture.loop.base(), [&](size_t connection, const std::string& head) {
+        if (IsHealthCheck(head)) {
+          return HealthyAnswer();
+        }
         const size_t at = head.find("Request-Id: ") + 12;
         const std::string id = head.substr(at, head.find('\r', at) - at);
         if (requests++ == 0) {
--- a/tests/support/endless_server.cc
+++ b/tests/support/endless_server.cc
@@ -1,10 +1,8 @@
 #include "tests/support/endless_server.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/listener.h>
-#include <netinet/in.h>
+#include <event2/event.h>
 
 #include <utility>
 
@@ -13,32 +11,15 @@
 EndlessServer::EndlessServer(event_base* base,
                              std::string begin,
                              std::string block)
-    : base_(base), begin_(std::move(begin)), block_(std::move(block)) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  listener_ = evconnlistener_new_bind(
-      base,
-      [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
-        static_cast<EndlessServer*>(self)->Accept(fd);
-      },
-      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, -1,
-      reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-}
+    : base_(base),
+      begin_(std::move(begin)),
+      block_(std::move(block)),
+      listener_(base, [this](int fd) { Accept(fd); }) {}
 
 EndlessServer::~EndlessServer() {
   for (bufferevent* connection : connections_) {
     bufferevent_free(connection);
   }
-  evconnlistener_free(listener_);
-}
-
-std::string EndlessServer::address() const {
-  sockaddr_in address{};
-  socklen_t size = sizeof(address);
-  getsockname(evconnlistener_get_fd(listener_),
-              reinterpret_cast<sockaddr*>(&address), &size);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
 }
 
 void EndlessServer::Accept(int fd) {
--- a/tests/support/endless_server.h
+++ b/tests/support/endless_server.h
@@ -7,9 +7,10 @@
 #include <string>
 #include <vector>
 
+#include "tests/support/loopback_listener.h"
+
 struct bufferevent;
 struct event_base;
-struct evconnlistener;
 
 namespace comfreystand::testing {
 
@@ -22,7 +23,7 @@
   EndlessServer(const EndlessServer&) = delete;
   EndlessServer& operator=(const EndlessServer&) = delete;
 
-  std::string address() const;
+  std::string address() const { return listener_.address(); }
   // Bytes that left the program.
   size_t bytes_sent() const { return bytes_sent_; }
   size_t open_connections() const { return connections_.size(); }
@@ -37,7 +38,7 @@
   event_base* const base_;
   const std::string begin_;
   const std::string block_;
-  evconnlistener* listener_;
+  LoopbackListener listener_;
   std::vector<bufferevent*> connections_;
   size_t bytes_sent_ = 0;
 };
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -6,9 +6,10 @@
 #include <string>
 #include <vector>
 
+#include "tests/support/loopback_listener.h"
+
 struct bufferevent;
 struct event_base;
-struct evconnlistener;
 
 namespace comfreystand::testing {
 
@@ -25,7 +26,7 @@
   ScriptedServer(const ScriptedServer&) = delete;
   ScriptedServer& operator=(const ScriptedServer&) = delete;
 
-  std::string address() const;
+  std::string address() const { return listener_.address(); }
   // Closes a connection once its bytes have been sent.
   void CloseAfterFlush(size_t connection);
 
@@ -35,7 +36,7 @@
 
   event_base* const base_;
   const Script script_;
-  evconnlistener* listener_;
+  LoopbackListener listener_;
   // In the order in which they were accepted; null once closed.
   std::vector<bufferevent*> connections_;
 };
