--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,5 @@
-"""Some answers of an instance in trouble go on without end."""
+"""An instance says that it leaves, in the answer to a request that was sent
+before its registration lapsed and came back."""
 
 import asyncio
 import os
@@ -8,83 +9,98 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
 import rig as r  # noqa: E402
 
-TIMEOUT_S = 1.2
-DEADLINE_S = 2.5
-LATE_S = 0.5
-# The trouble lasts as long as the requests are sent: six seconds.
-REQUESTS = 900
-PAUSE_S = 0.006
-WORK_S = 0.05
-# Three instances of five spoil each twentieth of their answers.
-INSTANCES = 5
-SPOILING = 3
-SPOILT_ONE_IN = 20
+# Bounds of the site.
+DRAIN_S = 3.0
+STABLE_S = 4.0
+LAPSE_S = 3 * r.HEARTBEAT_S
+# One instance of five is cut off.
+STAYING = 4
+# Enough requests at once that all instances get some.
+AT_ONCE = 12
+# The instance goes on serving for drainMs and a little longer, and then exits.
+LONGER_S = 0.9
 
 
 async def case(rig):
-    async def answer(instance, request, writer):
-        await asyncio.sleep(WORK_S)
-        return instance.ok(request)
+    passed_on = {}
 
-    async def answer_or_go_on(instance, request, writer):
-        await asyncio.sleep(WORK_S)
-        if not rig.trouble or len(instance.runs) % SPOILT_ONE_IN:
-            return instance.ok(request)
-        rig.record("%s answers %s with bytes without end" % (instance.name, request.id))
-        writer.write(instance.head(200, request, "Comfreystand-Server-Stamp: %s.%s\r\n"
-                                   "Transfer-Encoding: chunked\r\n\r\n" %
-                                   (instance.name, request.id)).encode())
-        started = time.monotonic()
-        try:
-            while True:
-                writer.write(b"2000\r\n" + b"x" * 0x2000 + b"\r\n")
-                await writer.drain()
-                await asyncio.sleep(0.02)
-        finally:
-            rig.record("the connection of %s was closed after %.2f s" %
-                       (request.id, time.monotonic() - started))
+    async def work(instance, request, writer):
+        await asyncio.sleep(1.8 if request.target == "/book/long" else 0.9)
+        return instance.ok(request)
 
     rig.store.put("op/config", r.config(1, {
-        "look": r.route("/look/", "desk", timeout_ms=int(TIMEOUT_S * 1000))},
+        "book": r.route("/book/", "desk", kind="non_idempotent", timeout_ms=3000)},
         {"desk": r.service()}))
-    for number in range(INSTANCES):
-        handle = answer_or_go_on if number < SPOILING else answer
-        await rig.instance("i-%d" % number, "desk", handle)
+    leaving = await rig.instance("i-leaving", "desk", work)
+    for number in range(STAYING):
+        await rig.instance("i-staying-%d" % number, "desk", work)
     gateway = rig.gateway()
     gateway.start()
     if not await gateway.ready():
         raise RuntimeError("the gateway is not ready")
-    await asyncio.sleep(r.BOUNDS["stableMs"] / 1000 + 1)
+    await asyncio.sleep(STABLE_S + 1)
 
-    async def look(number):
-        """How long the client waited for a final answer; None if it got none
-        until its deadline."""
-        sent_at = time.monotonic()
-        request_id = "look-%03d" % number
-        data = r.request_bytes("GET", "/look/%d" % number, request_id, int(DEADLINE_S * 1000))
+    async def book(path, request_id):
+        rig.record("client sends %s" % request_id)
         try:
-            status, _, body = await r.call("127.0.0.1", gateway.ports["front"], data, DEADLINE_S)
-            outcome = "%s with %d bytes" % (status, len(body))
-            waited = time.monotonic() - sent_at
-        except asyncio.TimeoutError:
-            outcome, waited = "no final answer; the client leaves at its deadline", None
-        except (OSError, asyncio.IncompleteReadError) as error:
-            outcome = "a broken connection: %r" % error
-            waited = time.monotonic() - sent_at
-        rig.record("client gets %s for %s after %.2f s" %
-                   (outcome, request_id, time.monotonic() - sent_at))
-        return waited
+            status, headers, _ = await r.call(
+                "127.0.0.1", gateway.ports["front"],
+                r.request_bytes("POST", path, request_id, 3000, b"bay"), 4)
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
+            status, headers = repr(error), {}
+        if headers.get("server-leaving") == "1":
+            passed_on.setdefault(headers["comfreystand-server-stamp"].split(".")[0],
+                                 time.monotonic())
+        rig.record("client gets %s stamp=%s leaving=%s for %s" %
+                   (status, headers.get("comfreystand-server-stamp"),
+                    headers.get("server-leaving"), request_id))
+        return status
+
+    if rig.trouble:
+        # First cut between the instance and the store: no beat gets through, so
+        # the entry is removed after three intervals.
+        leaving.register()
+        leaving.beats = False
+        rig.record("i-leaving is cut from the store, just after a beat")
+        await asyncio.sleep(LAPSE_S - 0.5)
+    first = [asyncio.create_task(book("/book/long", "before-%d" % n)) for n in range(AT_ONCE)]
+    await asyncio.sleep(0.5)
+    if rig.trouble:
+        rig.store.delete("servers/i-leaving")
+        rig.record("the entry of i-leaving is removed")
+        await asyncio.sleep(0.4)
+        # The cut ends, one beat gets through, and then comes the second cut.
+        leaving.register()
+        rig.record("the entry of i-leaving is back; it is cut from the store again")
+
+        async def lapse():
+            await asyncio.sleep(LAPSE_S)
+            rig.store.delete("servers/i-leaving")
+            rig.record("the entry of i-leaving is removed again")
 
-    tasks = []
-    for number in range(REQUESTS):
-        tasks.append(asyncio.create_task(look(number)))
-        await asyncio.sleep(PAUSE_S)
-    waits = await asyncio.gather(*tasks)
-    long_ones = [w for w in waits if w is None or w > TIMEOUT_S]
-    unanswered = [w for w in long_ones if w is None or w > TIMEOUT_S + LATE_S]
-    rig.record("%d of %d requests lasted longer than timeoutMs, %d of these had no final "
-               "answer %.1f s after it" % (len(long_ones), REQUESTS, len(unanswered), LATE_S))
-    return len(unanswered) >= 8 and len(unanswered) > len(long_ones) / 4
+        lapsing = asyncio.create_task(lapse())
+    # It begins to leave. It doesn't report draining, or can't.
+    leaving.beats = False
+    leaving.headers = "Server-Leaving: 1\r\n"
+    rig.record("i-leaving begins to leave and says so in its answers")
+    await asyncio.gather(*first)
+    if "i-leaving" not in passed_on:
+        raise RuntimeError("the instance got none of the first requests")
+    since = passed_on["i-leaving"]
+    await asyncio.sleep(since + DRAIN_S + 0.2 - time.monotonic())
+    second = [asyncio.create_task(book("/book/bay", "after-%d" % n)) for n in range(AT_ONCE)]
+    await asyncio.sleep(since + DRAIN_S + LONGER_S - time.monotonic())
+    rig.record("i-leaving exits")
+    await leaving.stop()
+    results = await asyncio.gather(*second)
+    if rig.trouble:
+        await lapsing
+    late = [request.id for when, request in leaving.runs
+            if request.id.startswith("after-") and when > since + DRAIN_S]
+    rig.record("%d requests that were sent later than %.1f s after the gateway passed on "
+               "Server-Leaving reached i-leaving: %s; answers to all of them: %s" %
+               (len(late), DRAIN_S, late, results))
+    return bool(late)
 
 
 r.main(case, __file__)
