Keep what a process says of itself while its registration comes back (DRAIN)

Cause: what an answer says was dropped unless the incarnation that its attempt was sent to was still the present one. A registration that lapses and comes back makes a new incarnation of the same process. The log had said-leaving while the state stayed live.

Ruled out: that the second lapse forgets it; requests arrive before that.

Change: attempts and probes remember the process; one function records statements of both. The reverse is mended too: load, refusals and timeouts of a former process no longer count for the one that has its name now.

--- a/src/steer/balance_backend.cc
+++ b/src/steer/balance_backend.cc
@@ -32,12 +32,14 @@
     return false;
   }
   const bool same_incarnation = known && update.incarnation == incarnation;
+  const bool same_process =
+      known && IsProcess({update.incarnation, update.process});
   BackendState next = update.state;
   if (same_incarnation) {
     // The state of an incarnation only advances: live, leaving, gone.
     next = std::max(state, update.state);
   } else {
-    if (!known || process == 0 || update.process != process) {
+    if (!same_process) {
       said_leaving_ = false;
       wait_until = {};
       refused_until = {};
@@ -59,8 +61,8 @@
   process = update.process;
   suspended = update.suspended;
   // Answers report the cold time too, so the later end applies.
-  cold_until = same_incarnation ? std::max(cold_until, update.cold_until)
-                                : update.cold_until;
+  cold_until = same_process ? std::max(cold_until, update.cold_until)
+                            : update.cold_until;
   cold_rate = update.cold_rate;
   has_health_check = update.has_health_check;
   verify_until = update.verify_until;
@@ -77,13 +79,20 @@
   state = std::max(state, BackendState::kLeaving);
 }
 
-void Backend::OnSaidLeaving() {
-  said_leaving_ = true;
-  MarkLeaving();
-}
-
-void Backend::OnAskedToWait(TimePoint now, Duration wait) {
-  wait_until = std::max(wait_until, now + wait);
+void Backend::OnStatement(TimePoint now, const BackendStatement& statement) {
+  if (statement.remaining_cold_time) {
+    cold_until = std::max(cold_until, now + *statement.remaining_cold_time);
+  }
+  if (statement.max_rate) {
+    max_rate = *statement.max_rate;
+  }
+  if (statement.wait) {
+    wait_until = std::max(wait_until, now + *statement.wait);
+  }
+  if (statement.leaving) {
+    said_leaving_ = true;
+    MarkLeaving();
+  }
 }
 
 BackendCheck::State Backend::CheckAt(TimePoint now, bool uncertain) const {
--- a/src/steer/balance_backend.h
+++ b/src/steer/balance_backend.h
@@ -27,6 +27,22 @@
   bool IsActive(TimePoint now) const { return until > now; }
 };
 
+// The process that a request or a probe was sent to.
+struct ProcessRef {
+  Incarnation incarnation;
+  // As in BackendUpdate.
+  uint64_t process = 0;
+};
+
+// What a backend server says of its process, in any answer.
+struct BackendStatement {
+  bool leaving = false;
+  // As in AttemptReport.
+  std::optional<Duration> wait;
+  std::optional<Duration> remaining_cold_time;
+  std::optional<double> max_rate;
+};
+
 // State of one backend server as seen by one node.
 struct Backend {
   // Applies an update from the driver. Returns true when the pool has to be
@@ -35,10 +51,17 @@
 
   // Excludes the backend server from requests until its next incarnation.
   void MarkLeaving();
-  // Record what the process said of itself, which also binds its later
-  // incarnations: it is leaving, or wants no requests for so long.
-  void OnSaidLeaving();
-  void OnAskedToWait(TimePoint now, Duration wait);
+  // Records what the process said of itself, which also binds its later
+  // incarnations.
+  void OnStatement(TimePoint now, const BackendStatement& statement);
+
+  ProcessRef Process() const { return {incarnation, process}; }
+  // Whether `other` runs as this backend server now. Its registration may have
+  // lapsed and come back meanwhile.
+  bool IsProcess(const ProcessRef& other) const {
+    return other.incarnation == incarnation ||
+           (process != 0 && other.process == process);
+  }
 
   // State of the probe that a request needs, or kCurrent when it needs none.
   // `uncertain`: the states of all backend servers may have changed unnoticed.
@@ -114,8 +137,8 @@
   TimePoint verify_until;
   // Used while the states of the backend servers are uncertain.
   BackendCheck check;
-  // Incarnation that the probe in flight was sent to.
-  std::optional<Incarnation> probed_incarnation;
+  // Process that the probe in flight was sent to.
+  std::optional<ProcessRef> probed;
 
   uint32_t in_flight = 0;
   uint32_t long_in_flight = 0;
--- a/src/steer/dispatch_admit.cc
+++ b/src/steer/dispatch_admit.cc
@@ -246,7 +246,7 @@
     return;
   }
   check.OnSent(now);
-  backends_[id.value].probed_incarnation = backends_[id.value].incarnation;
+  backends_[id.value].probed = backends_[id.value].Process();
   ++stats_.probes;
   actions_.push_back({.type = ActionType::kProbe, .backend = id});
 }
--- a/src/steer/dispatch_attempt.cc
+++ b/src/steer/dispatch_attempt.cc
@@ -31,21 +31,11 @@
     return;
   }
   Backend& backend = backends_[attempt->backend.value];
-  if (report.reported_free_slots >= 0) {
-    backend.SetPeerBusySlots(now, static_cast<double>(backend.slots) -
-                                      report.reported_free_slots -
-                                      backend.in_flight);
-  }
-  if (report.load) {
-    const uint32_t ended = IsTerminal(report.event) ? 1 : 0;
-    backend.OnLoadHeader(
-        now, *report.load,
-        backend.in_flight - std::min(backend.in_flight, ended));
-    if (Service* service = FindService(backend.service)) {
-      service->pool.OnLoadHeader(now, backend);
-    }
+  // Otherwise another process has the name by now.
+  const bool same_process = backend.IsProcess(attempt->process);
+  if (same_process) {
+    RecordAnswer(now, &backend, *attempt, report);
   }
-  RecordStatements(now, *attempt, report);
   if (report.event == AttemptEvent::kEarlierAnswer) {
     RebuildPools();
     StartQueued(now, backend.service);
@@ -61,39 +51,42 @@
     return;
   }
   attempt->progress.answer_started = true;
-  backend.OnProgress(now);
+  if (same_process) {
+    backend.OnProgress(now);
+  }
   Request* request = requests_.Find(attempt->request);
   if (request != nullptr && !request->delivering.IsValid()) {
     Deliver(attempt->request, request, handle);
   }
 }
 
-void DispatcherCore::RecordStatements(TimePoint now,
-                                      const Attempt& attempt,
-                                      const AttemptReport& report) {
-  Backend& backend = backends_[attempt.backend.value];
-  if (backend.incarnation != attempt.incarnation) {
-    // Another process may have the name by now.
-    return;
-  }
-  if (report.remaining_cold_time) {
-    backend.cold_until =
-        std::max(backend.cold_until, now + *report.remaining_cold_time);
-  }
-  if (report.max_rate) {
-    backend.max_rate = *report.max_rate;
+void DispatcherCore::RecordAnswer(TimePoint now,
+                                  Backend* backend,
+                                  const Attempt& attempt,
+                                  const AttemptReport& report) {
+  if (report.reported_free_slots >= 0) {
+    backend->SetPeerBusySlots(now, static_cast<double>(backend->slots) -
+                                       report.reported_free_slots -
+                                       backend->in_flight);
   }
-  if (report.wait) {
-    backend.OnAskedToWait(now, *report.wait);
+  if (report.load) {
+    const uint32_t ended = IsTerminal(report.event) ? 1 : 0;
+    backend->OnLoadHeader(
+        now, *report.load,
+        backend->in_flight - std::min(backend->in_flight, ended));
+    if (Service* service = FindService(backend->service)) {
+      service->pool.OnLoadHeader(now, *backend);
+    }
   }
+  backend->OnStatement(now, {.leaving = report.leaving,
+                             .wait = report.wait,
+                             .remaining_cold_time = report.remaining_cold_time,
+                             .max_rate = report.max_rate});
   if (report.from_other_backend) {
-    backend.MarkLeaving();
+    OnAddressReused(backend, attempt.process.incarnation);
   }
   if (report.leaving) {
-    backend.OnSaidLeaving();
-  }
-  if (report.leaving || report.from_other_backend) {
-    MarkForRebuild(backend.service);
+    MarkForRebuild(backend->service);
   }
 }
 
@@ -125,7 +118,7 @@
   attempt->expected = learner_.Expected(attempt->key);
   attempt->started = now;
   Backend& backend = backends_[choice.backend.value];
-  attempt->incarnation = backend.incarnation;
+  attempt->process = backend.Process();
   // Without a learned latency there is nothing to compare this attempt with.
   attempt->excluded_from_slowness = !learner_.HasLearnedClass(attempt->key);
   if (!attempt->excluded_from_slowness) {
@@ -174,6 +167,9 @@
     backend.slowness.OnEnd(now, attempt.started, attempt.expected, answered,
                            HasLatency(report.event) ? kMaxCountedSlowness : 0);
   }
+  if (!backend.IsProcess(attempt.process)) {
+    return;
+  }
   if (answered) {
     backend.OnProgress(now);
     ++backend.served;
--- a/src/steer/dispatch_core.cc
+++ b/src/steer/dispatch_core.cc
@@ -137,28 +137,22 @@
     return;
   }
   Backend& backend = backends_[id.value];
-  const auto probed = std::exchange(backend.probed_incarnation, std::nullopt);
-  if (probed && *probed != backend.incarnation) {
-    // Another process may have the name by now.
+  const auto probed = std::exchange(backend.probed, std::nullopt);
+  if (probed && !backend.IsProcess(*probed)) {
+    // Another process has the name by now.
     backend.check = {};
     StartQueued(now, backend.service);
     return;
   }
   backend.check.OnResult(now, report.healthy);
-  if (report.remaining_cold_time) {
-    backend.cold_until =
-        std::max(backend.cold_until, now + *report.remaining_cold_time);
-  }
-  if (report.wait) {
-    backend.OnAskedToWait(now, *report.wait);
-  }
-  if (report.leaving) {
-    backend.OnSaidLeaving();
-  }
+  backend.OnStatement(now, {.leaving = report.leaving,
+                            .wait = report.wait,
+                            .remaining_cold_time = report.remaining_cold_time});
   if (report.from_other_backend) {
-    backend.MarkLeaving();
+    OnAddressReused(&backend,
+                    probed ? probed->incarnation : backend.incarnation);
   }
-  if (report.leaving || report.from_other_backend) {
+  if (report.leaving) {
     MarkForRebuild(backend.service);
   }
   if (report.healthy && backend.suspect) {
@@ -169,6 +163,15 @@
   StartQueued(now, backend.service);
 }
 
+// Another backend server has answered at the address that `incarnation` had.
+void DispatcherCore::OnAddressReused(Backend* backend,
+                                     Incarnation incarnation) {
+  if (backend->incarnation == incarnation) {
+    backend->MarkLeaving();
+    MarkForRebuild(backend->service);
+  }
+}
+
 bool DispatcherCore::NextAction(TimePoint now, Action* action) {
   if (actions_.empty()) {
     RebuildPools();
@@ -314,7 +317,7 @@
     }
     backend.next_probe = now + ProbeInterval(backend);
     ++stats_.probes;
-    backend.probed_incarnation = backend.incarnation;
+    backend.probed = backend.Process();
     actions_.push_back({.type = ActionType::kProbe, .backend = backend.id});
   }
 }
--- a/src/steer/dispatch_core.h
+++ b/src/steer/dispatch_core.h
@@ -77,7 +77,7 @@
   struct Attempt {
     RequestHandle request;
     BackendId backend;
-    Incarnation incarnation;
+    ProcessRef process;
     ServiceId service;
     WorkKey key;
     uint64_t object = 0;
@@ -149,10 +149,12 @@
                   AttemptHandle handle,
                   const Attempt& attempt,
                   const AttemptReport& report);
-  // Records what an answer says of its backend server.
-  void RecordStatements(TimePoint now,
-                        const Attempt& attempt,
-                        const AttemptReport& report);
+  // Records what an answer says of its backend server and of its load.
+  void RecordAnswer(TimePoint now,
+                    Backend* backend,
+                    const Attempt& attempt,
+                    const AttemptReport& report);
+  void OnAddressReused(Backend* backend, Incarnation incarnation);
   void RecordAttemptEnd(TimePoint now,
                         const Attempt& attempt,
                         const AttemptReport& report);
--- a/tests/backend_statements_test.cc
+++ b/tests/backend_statements_test.cc
@@ -128,6 +128,84 @@
   }
 }
 
+// Guards against a statement that is lost because the registration of the
+// backend server lapsed and came back while it was under way.
+TEST_CASE("a statement that is under way while a registration comes back") {
+  Fixture fixture;
+  const AttemptHandle attempt = fixture.StartAt(kFirst);
+  const auto come_back_as = [&](uint64_t process) {
+    fixture.Update(kFirst, 1, 11, BackendState::kRemoved);
+    fixture.Update(kFirst, 2, process);
+  };
+  const auto answer = [&](AttemptReport report) {
+    report.event = AttemptEvent::kAnswered;
+    fixture.dispatcher->OnAttempt(fixture.now, attempt, report);
+    while (fixture.Next()) {
+    }
+  };
+  const auto probe_answered = [&](const ProbeReport& report) {
+    fixture.dispatcher->SetBackendsUncertain(fixture.now, true);
+    fixture.Send();
+    REQUIRE_FALSE(fixture.Next());
+    REQUIRE(fixture.dispatcher->Stats().probes == 1);
+    come_back_as(11);
+    fixture.dispatcher->OnProbe(fixture.now, kFirst, report);
+    while (fixture.Next()) {
+    }
+    fixture.dispatcher->SetBackendsUncertain(fixture.now, false);
+  };
+  SUBCASE("binds the same process") {
+    SUBCASE("that leaves") {
+      come_back_as(11);
+      answer({.leaving = true});
+      CHECK_FALSE(fixture.Chosen());
+    }
+    SUBCASE("that leaves, said in the answer to a probe") {
+      probe_answered({.healthy = true, .leaving = true});
+      CHECK_FALSE(fixture.Chosen());
+    }
+    SUBCASE("that asks to wait") {
+      come_back_as(11);
+      answer({.wait = seconds(3)});
+      CHECK_FALSE(fixture.Chosen());
+      fixture.now += seconds(3);
+      CHECK(fixture.Chosen() == kFirst);
+    }
+    SUBCASE("that names a limit") {
+      come_back_as(11);
+      answer({.max_rate = 0.5});
+      CHECK(fixture.dispatcher->Stats().limited_backends == 1);
+    }
+    SUBCASE("that is cold") {
+      answer({.remaining_cold_time = seconds(3)});
+      CHECK_FALSE(fixture.Chosen());
+      come_back_as(11);
+      CHECK_FALSE(fixture.Chosen());
+      fixture.now += seconds(3);
+      CHECK(fixture.Chosen() == kFirst);
+    }
+  }
+  SUBCASE("doesn't bind another process") {
+    come_back_as(12);
+    SUBCASE("that leaves") {
+      answer({.leaving = true});
+    }
+    SUBCASE("that names a limit") {
+      answer({.max_rate = 0.5});
+      CHECK(fixture.dispatcher->Stats().limited_backends == 0);
+    }
+    SUBCASE("that is full") {
+      answer({.load = LoadHeader{.running = 3, .waiting = 9, .slots = 3}});
+    }
+    SUBCASE("that refuses") {
+      fixture.Report(attempt, AttemptEvent::kRefused);
+      // The request that was refused goes on.
+      CHECK(fixture.ExpectNext(ActionType::kStartAttempt).backend == kFirst);
+    }
+    CHECK(fixture.Chosen() == kFirst);
+  }
+}
+
 TEST_CASE("requests that wait for a leaving backend server") {
   Fixture fixture;
   std::vector<AttemptHandle> attempts;
--- a/tests/leaving_answers_test.cc
+++ b/tests/leaving_answers_test.cc
@@ -95,6 +95,27 @@
   }
 }
 
+// Guards against requests that reach a leaving backend server because its
+// registration came back while its answer was under way (DRAIN).
+TEST_CASE("a backend server that leaves while its registration comes back") {
+  Fixture fixture;
+  fixture.first.behaviour().work_ms = 1'200;
+  fixture.store.Remove("servers/i-1");
+  REQUIRE(fixture.WaitUntilBackendsReady(1));
+  const auto caller =
+      fixture.OpenCaller(GatewayRequest("GET", "/look/a", "before"));
+  REQUIRE(fixture.WaitUntil([&] { return fixture.first.busy() == 1; }));
+  fixture.Register(*fixture.servers[1], "ready", 1);
+  fixture.store.Remove("servers/i-0");
+  REQUIRE(fixture.WaitUntilBackendsReady(1));
+  fixture.Register(fixture.first, "ready", 1);
+  REQUIRE(fixture.WaitUntilBackendsReady(2));
+  fixture.first.behaviour() = {.leaving = true};
+  REQUIRE(fixture.WaitUntil([&] { return caller->AnswerCount() == 1; }));
+  CHECK(caller->HasReceived("Server-Leaving: 1"));
+  CHECK(fixture.ReachingFirst() == 0);
+}
+
 TEST_CASE("a leaving backend server that is the last one") {
   Fixture fixture;
   fixture.store.Remove("servers/i-1");
