--- a/src/edge/caller_connection.cc
+++ b/src/edge/caller_connection.cc
@@ -112,7 +112,8 @@
     if (IsRequestLineIncomplete(input)) {
       return;
     }
-    const bool can_continue = ParseInput(input);
+    const bool can_continue =
+        IsReadingBody() ? ReadBody(input) : ReadHead(input);
     if (std::exchange(send_pending_, false)) {
       SendReadyReplies();
     }
--- a/src/edge/caller_connection.h
+++ b/src/edge/caller_connection.h
@@ -10,7 +10,7 @@
 #include <string_view>
 
 #include "comfreystand/relay_protocol.h"
-#include "src/edge/chunked_framing.h"
+#include "src/edge/body_reader.h"
 #include "src/loop/event_handles.h"
 
 namespace comfreystand::edge {
@@ -147,11 +147,13 @@
   static const htparse_hooks& ParserHooks();
   void OnReadable();
   bool IsRequestLineIncomplete(evbuffer* input);
-  bool ParseInput(evbuffer* input);
+  // Read the first contiguous piece of `input`. Return false when no further
+  // input may be read.
+  bool ReadHead(evbuffer* input);
+  bool ReadBody(evbuffer* input);
   void OnHeadBegin();
-  int OnHeadComplete();
-  bool ReadFraming();
-  void OnBody(const char* data, size_t size);
+  void OnHeadComplete();
+  void OnBody(std::string_view content);
   void OnMessageComplete();
   void OnParseError(bool too_large);
   void OnWritable();
@@ -164,9 +166,6 @@
   void SetTimer();
   void OnTimer();
   bool IsReadingBody() const { return reading_reply_ != nullptr; }
-  bool IsReadingChunks() const {
-    return IsReadingBody() && reading_reply_->head.content_length < 0;
-  }
   // Whether another request may be read.
   bool CanReadRequest() const;
 
@@ -183,15 +182,13 @@
   std::unique_ptr<Reply> incoming_reply_;
   // The request whose body is being read.
   Reply* reading_reply_ = nullptr;
-  // Of its body, when it is sent in chunks.
-  ChunkedFraming framing_;
+  BodyReader body_;
   size_t header_bytes_ = 0;
   // Part of a request line has arrived.
   bool request_line_begun_ = false;
   bool head_begun_ = false;
   bool headers_too_large_ = false;
   bool bad_framing_ = false;
-  bool message_complete_ = false;
   // The parser is running; the connection must not be closed until it returns.
   bool parsing_ = false;
   // Abort() was called while the parser was running.
--- a/src/edge/caller_connection_parse.cc
+++ b/src/edge/caller_connection_parse.cc
@@ -45,42 +45,55 @@
   return true;
 }
 
-// Passes the first contiguous piece of `input` to the parser. Returns false
-// when no further input may be parsed.
-bool CallerConnection::ParseInput(evbuffer* input) {
-  const std::string_view piece = FirstPiece(input, !IsReadingBody());
-  if (IsReadingChunks() && !framing_.Check(piece)) {
-    OnParseError(false);
-    return false;
-  }
+bool CallerConnection::ReadHead(evbuffer* input) {
+  const std::string_view piece = FirstPiece(input);
   parsing_ = true;
-  const auto [size, parsed] = ParsePiece(parser_.get(), ParserHooks(), piece);
+  const size_t parsed = ParsePiece(parser_.get(), ParserHooks(), piece);
   parsing_ = false;
   if (abort_pending_) {
     return false;
   }
-  if (message_complete_) {
-    message_complete_ = false;
-    evbuffer_drain(input, parsed);
-    htparser_init(parser_.get(), htp_type_request);
-    htparser_set_userdata(parser_.get(), this);
-    OnMessageComplete();
-    return state_ == State::kOpen;
-  }
-  const htpparse_error error = htparser_get_error(parser_.get());
-  if (headers_too_large_ || bad_framing_ || error != htparse_error_none ||
-      parsed < size) {
+  const bool head_complete = IsReadingBody();
+  if (headers_too_large_ || bad_framing_ ||
+      (!head_complete && parsed < piece.size())) {
     // The parser reports an invalid Content-Length as "too big", the same error
     // as for oversized headers.
     const bool in_content_length =
         incoming_reply_ && !incoming_reply_->head.headers.empty() &&
         EqualNames(incoming_reply_->head.headers.back().name, "Content-Length");
     OnParseError(headers_too_large_ ||
-                 (error == htparse_error_too_big && !in_content_length));
+                 (htparser_get_error(parser_.get()) == htparse_error_too_big &&
+                  !in_content_length));
     return false;
   }
   evbuffer_drain(input, parsed);
-  if (IsReadingBody()) {
+  if (!head_complete) {
+    return state_ == State::kOpen;
+  }
+  htparser_init(parser_.get(), htp_type_request);
+  htparser_set_userdata(parser_.get(), this);
+  if (body_.complete()) {
+    OnMessageComplete();
+  }
+  return state_ == State::kOpen;
+}
+
+bool CallerConnection::ReadBody(evbuffer* input) {
+  const BodyPiece piece = body_.Read(FirstPiece(input));
+  if (body_.malformed() || body_.framing_bytes() > limits_.header_bytes) {
+    OnParseError(false);
+    return false;
+  }
+  parsing_ = true;
+  OnBody(piece.content);
+  parsing_ = false;
+  if (abort_pending_) {
+    return false;
+  }
+  evbuffer_drain(input, piece.size);
+  if (body_.complete()) {
+    OnMessageComplete();
+  } else {
     SetTimer();
   }
   return state_ == State::kOpen;
@@ -110,10 +123,6 @@
     };
     hooks.hdr_key = [](htparser* parser, const char* data, size_t size) {
       CallerConnection* self = Self(parser);
-      if (self->IsReadingBody()) {
-        // Trailers are not relayed.
-        return 0;
-      }
       self->incoming_reply_->head.headers.push_back(
           {std::string(data, size), {}});
       self->header_bytes_ += size;
@@ -121,8 +130,7 @@
     };
     hooks.hdr_val = [](htparser* parser, const char* data, size_t size) {
       CallerConnection* self = Self(parser);
-      if (self->IsReadingBody() ||
-          self->incoming_reply_->head.headers.empty()) {
+      if (self->incoming_reply_->head.headers.empty()) {
         return 0;
       }
       self->incoming_reply_->head.headers.back().value +=
@@ -133,15 +141,8 @@
       return self->headers_too_large_ ? -1 : 0;
     };
     hooks.on_hdrs_complete = [](htparser* parser) {
-      CallerConnection* self = Self(parser);
-      return self->IsReadingBody() ? 0 : self->OnHeadComplete();
-    };
-    hooks.body = [](htparser* parser, const char* data, size_t size) {
-      Self(parser)->OnBody(data, size);
-      return Self(parser)->abort_pending_ ? -1 : 0;
-    };
-    hooks.on_msg_complete = [](htparser* parser) {
-      Self(parser)->message_complete_ = true;
+      Self(parser)->OnHeadComplete();
+      // Stops the parser before the body.
       return -1;
     };
     return hooks;
@@ -156,64 +157,38 @@
   SetTimer();
 }
 
-// Determines the body framing from Content-Length and Transfer-Encoding.
-// Returns false when they are invalid or ambiguous (request smuggling).
-bool CallerConnection::ReadFraming() {
-  RequestHead& head = incoming_reply_->head;
-  int lengths = 0;
-  bool chunked = false;
-  for (const HeaderField& field : head.headers) {
-    if (EqualNames(field.name, "Content-Length")) {
-      ++lengths;
-      if (!ParseInteger(field.value, &head.content_length) ||
-          head.content_length < 0) {
-        return false;
-      }
-    } else if (EqualNames(field.name, "Transfer-Encoding")) {
-      if (chunked || !EqualNames(field.value, "chunked")) {
-        return false;
-      }
-      chunked = true;
-    }
-  }
-  if (lengths > 1 || (lengths == 1 && chunked)) {
-    return false;
-  }
-  if (chunked) {
-    head.content_length = -1;
-  }
-  return true;
-}
-
-int CallerConnection::OnHeadComplete() {
+void CallerConnection::OnHeadComplete() {
   RequestHead& head = incoming_reply_->head;
   head.http11 = htparser_get_minor(parser_.get()) >= 1;
   head.caller_address = address_;
   head.target = head.has_query ? head.path + "?" + head.query : head.path;
-  if (!ReadFraming()) {
+  DeclaredBody declared;
+  if (!ReadDeclaredBody(head.headers, &declared)) {
     bad_framing_ = true;
-    return -1;
+    return;
   }
+  body_.Start(declared.chunked ? BodyEnd::kChunks : BodyEnd::kLength,
+              declared.length);
+  head.content_length =
+      declared.chunked ? -1 : std::max<int64_t>(0, declared.length);
   head_begun_ = false;
   replies_.push_back(std::move(incoming_reply_));
   reading_reply_ = replies_.back().get();
-  framing_ = {};
   reading_reply_->close_after =
       htparser_should_keep_alive(parser_.get()) == 0 ||
       !reading_reply_->head.http11;
   SetTimer();
   delegate_->OnRequestHead(this, reading_reply_);
-  return abort_pending_ ? -1 : 0;
 }
 
-void CallerConnection::OnBody(const char* data, size_t size) {
-  if (!reading_reply_) {
+void CallerConnection::OnBody(std::string_view content) {
+  if (content.empty() || !reading_reply_) {
     return;
   }
-  reading_reply_->body_bytes += size;
+  reading_reply_->body_bytes += content.size();
   if (reading_reply_->handler && !reading_reply_->finished) {
     const BufferPtr part = NewBuffer();
-    evbuffer_add(part.get(), data, size);
+    evbuffer_add(part.get(), content.data(), content.size());
     reading_reply_->handler->OnRequestBody(part.get());
   }
 }
--- a/src/edge/chunked_framing.cc
+++ b/src/edge/chunked_framing.cc
@@ -1,6 +1,5 @@
 #include "src/edge/chunked_framing.h"
 
-#include <algorithm>
 #include <array>
 
 namespace comfreystand::edge {
@@ -20,27 +19,37 @@
 
 }  // namespace
 
-bool ChunkedFraming::Check(std::string_view bytes) {
+BodyPiece ChunkedFraming::Read(std::string_view bytes) {
+  const size_t skipped = ReadFraming(bytes);
+  if (state_ != State::kData) {
+    return {.size = skipped, .content = {}};
+  }
+  const std::string_view content = bytes.substr(skipped, length_);
+  length_ -= content.size();
+  if (length_ == 0) {
+    state_ = State::kDataReturn;
+  }
+  return {.size = skipped + content.size(), .content = content};
+}
+
+// Reads up to the next content or the end of the body. Returns the number of
+// bytes read.
+size_t ChunkedFraming::ReadFraming(std::string_view bytes) {
   // Indexed by State.
   static constexpr std::array<Step, kStates> kSteps = {
       &ChunkedFraming::OnLength,       &ChunkedFraming::OnExtension,
-      &ChunkedFraming::OnLengthEnd,    &ChunkedFraming::OnData,
+      &ChunkedFraming::OnLengthEnd,    &ChunkedFraming::Stay,
       &ChunkedFraming::OnDataReturn,   &ChunkedFraming::OnDataEnd,
       &ChunkedFraming::OnTrailerBegin, &ChunkedFraming::OnTrailer,
       &ChunkedFraming::OnTrailerEnd,   &ChunkedFraming::OnLastEnd,
       &ChunkedFraming::Stay,           &ChunkedFraming::Stay};
   size_t at = 0;
-  while (at < bytes.size() && !complete() && state_ != State::kMalformed) {
-    if (state_ == State::kData && length_ > 1) {
-      const size_t skipped = std::min<uint64_t>(length_ - 1, bytes.size() - at);
-      length_ -= skipped;
-      at += skipped;
-      continue;
-    }
+  while (at < bytes.size() && state_ != State::kData && !complete() &&
+         !malformed()) {
     state_ = (this->*kSteps[static_cast<size_t>(state_)])(bytes[at]);
     ++at;
   }
-  return state_ != State::kMalformed;
+  return at;
 }
 
 ChunkedFraming::State ChunkedFraming::OnLength(char c) {
@@ -72,12 +81,6 @@
   return length_ > 0 ? State::kData : State::kTrailerBegin;
 }
 
-// Called for the last byte of a chunk.
-ChunkedFraming::State ChunkedFraming::OnData(char) {
-  length_ = 0;
-  return State::kDataReturn;
-}
-
 ChunkedFraming::State ChunkedFraming::OnDataReturn(char c) {
   return c == '\r' ? State::kDataEnd : State::kMalformed;
 }
--- a/src/edge/http_connection.cc
+++ b/src/edge/http_connection.cc
@@ -107,7 +107,7 @@
   head_request_ = head_request;
   request_ended_ = false;
   wrote_since_timeout_ = false;
-  bytes_since_body_ = 0;
+  bytes_before_body_ = 0;
   ResetAnswer();
   if (state_ == State::kOpen) {
     SetProgressTimeout(true);
@@ -147,11 +147,7 @@
   head_ = AnswerHead();
   answer_begun_ = false;
   head_done_ = false;
-  complete_ = false;
-  body_until_close_ = false;
   keep_alive_ = true;
-  chunked_ = false;
-  framing_ = {};
   bad_framing_ = false;
   skipping_answer_ = false;
 }
@@ -200,8 +196,10 @@
                    : ExchangeFailure::kBroken);
     return;
   }
-  if (body_until_close_ && (events & BEV_EVENT_EOF) != 0) {
-    complete_ = true;
+  const bool ends_body =
+      head_done_ && !skipping_answer_ &&
+      (body_.end() == BodyEnd::kClose || body_.content_complete());
+  if (exchange_ && ends_body && (events & BEV_EVENT_EOF) != 0) {
     keep_alive_ = false;
     FinishExchange();
     return;
@@ -232,103 +230,95 @@
       return;
     }
     answer_begun_ = true;
-    const bool can_continue =
-        body_until_close_ ? ReadUntilClose(input) : ParseInput(input);
+    const bool can_continue = head_done_ ? ReadBody(input) : ReadHead(input);
     if (!can_continue) {
       return;
     }
   }
 }
 
-bool HttpConnection::ReadUntilClose(evbuffer* input) {
-  evbuffer_iovec piece;
-  evbuffer_peek(input, -1, nullptr, &piece, 1);
+bool HttpConnection::ReadHead(evbuffer* input) {
+  const std::string_view piece = FirstPiece(input);
   parsing_ = true;
-  exchange_->OnAnswerBody(static_cast<const char*>(piece.iov_base),
-                          piece.iov_len);
+  const size_t parsed = ParsePiece(parser_.get(), ParserHooks(), piece);
   parsing_ = false;
+  bytes_before_body_ += parsed;
   if (close_after_parsing_) {
     Fail(ExchangeFailure::kClosed);
     return false;
   }
-  evbuffer_drain(input, piece.iov_len);
-  return true;
+  const size_t max_bytes = skipping_answer_ ? limits::kMaxSkippedAnswerBytes
+                                            : limits::kMaxAnswerHeadBytes;
+  const bool malformed = !head_done_ && parsed < piece.size();
+  if (malformed || bad_framing_ || bytes_before_body_ > max_bytes) {
+    Fail(ExchangeFailure::kBroken);
+    return false;
+  }
+  evbuffer_drain(input, parsed);
+  return head_done_ && body_.complete() ? OnAnswerEnd(input) : true;
 }
 
-bool HttpConnection::ParseInput(evbuffer* input) {
-  const std::string_view piece = FirstPiece(input, !head_done_);
-  if (head_done_ && chunked_ && !framing_.Check(piece)) {
-    Fail(ExchangeFailure::kBroken);
+bool HttpConnection::ReadBody(evbuffer* input) {
+  const BodyPiece piece = body_.Read(FirstPiece(input));
+  const bool too_much_framing =
+      body_.framing_bytes() > limits::kMaxAnswerHeadBytes;
+  if (too_much_framing && body_.content_complete() && !skipping_answer_) {
+    // Trailers without end.
+    keep_alive_ = false;
+    FinishExchange();
     return false;
   }
-  parsing_ = true;
-  const auto [size, parsed] = ParsePiece(parser_.get(), ParserHooks(), piece);
-  parsing_ = false;
-  bytes_since_body_ += parsed;
-  const size_t max_bytes_since_body = skipping_answer_
-                                          ? limits::kMaxSkippedAnswerBytes
-                                          : limits::kMaxAnswerHeadBytes;
-  if (!complete_ && bytes_since_body_ > max_bytes_since_body) {
+  if (body_.malformed() || too_much_framing) {
     Fail(ExchangeFailure::kBroken);
     return false;
   }
+  if (skipping_answer_) {
+    bytes_before_body_ += piece.size;
+    if (bytes_before_body_ > limits::kMaxSkippedAnswerBytes) {
+      Fail(ExchangeFailure::kBroken);
+      return false;
+    }
+  } else if (!piece.content.empty()) {
+    parsing_ = true;
+    exchange_->OnAnswerBody(piece.content.data(), piece.content.size());
+    parsing_ = false;
+  }
   if (close_after_parsing_) {
     Fail(ExchangeFailure::kClosed);
     return false;
   }
-  if (complete_ && skipping_answer_) {
-    evbuffer_drain(input, parsed);
+  evbuffer_drain(input, piece.size);
+  return body_.complete() ? OnAnswerEnd(input) : true;
+}
+
+bool HttpConnection::OnAnswerEnd(evbuffer* input) {
+  if (skipping_answer_) {
     ResetAnswer();
     return true;
   }
-  if (complete_) {
-    evbuffer_drain(input, parsed);
-    keep_alive_ = keep_alive_ && evbuffer_get_length(input) == 0;
-    FinishExchange();
-    return false;
-  }
-  if (body_until_close_) {
-    evbuffer_drain(input, parsed);
-    return true;
-  }
-  if (bad_framing_ || htparser_get_error(parser_.get()) != htparse_error_none ||
-      parsed < size) {
-    Fail(ExchangeFailure::kBroken);
-    return false;
-  }
-  evbuffer_drain(input, parsed);
-  return true;
+  keep_alive_ = keep_alive_ && evbuffer_get_length(input) == 0;
+  FinishExchange();
+  return false;
 }
 
 const htparse_hooks& HttpConnection::ParserHooks() {
   static const htparse_hooks kHooks = [] {
     htparse_hooks hooks = {};
     hooks.hdr_key = [](htparser* parser, const char* data, size_t size) {
-      HttpConnection* self = Self(parser);
-      if (!self->head_done_) {
-        self->head_.headers.push_back({std::string(data, size), {}});
-      }
+      Self(parser)->head_.headers.push_back({std::string(data, size), {}});
       return 0;
     };
     hooks.hdr_val = [](htparser* parser, const char* data, size_t size) {
       HttpConnection* self = Self(parser);
-      if (!self->head_done_ && !self->head_.headers.empty()) {
+      if (!self->head_.headers.empty()) {
         self->head_.headers.back().value += TrimSpace({data, size});
       }
       return 0;
     };
     hooks.on_hdrs_complete = [](htparser* parser) {
-      return Self(parser)->OnHeadComplete();
-    };
-    hooks.body = [](htparser* parser, const char* data, size_t size) {
-      if (!Self(parser)->skipping_answer_) {
-        Self(parser)->bytes_since_body_ = 0;
-        Self(parser)->exchange_->OnAnswerBody(data, size);
-      }
-      return Self(parser)->close_after_parsing_ ? -1 : 0;
-    };
-    hooks.on_msg_complete = [](htparser* parser) {
-      return Self(parser)->OnMessageComplete();
+      Self(parser)->OnHeadComplete();
+      // Stops the parser before the body.
+      return -1;
     };
     return hooks;
   }();
@@ -348,54 +338,41 @@
   keep_alive_timeout_ = std::chrono::seconds(seconds);
 }
 
-int HttpConnection::OnHeadComplete() {
+void HttpConnection::OnHeadComplete() {
   head_.status = static_cast<int>(htparser_get_status(parser_.get()));
-  int lengths = 0;
-  for (const HeaderField& field : head_.headers) {
-    if (EqualNames(field.name, "Content-Length")) {
-      ++lengths;
-      int64_t length = -1;
-      const char* end = field.value.data() + field.value.size();
-      const auto result = std::from_chars(field.value.data(), end, length);
-      bad_framing_ = bad_framing_ || result.ptr != end || length < 0;
-      head_.content_length = length;
-    } else if (EqualNames(field.name, "Transfer-Encoding")) {
-      chunked_ = EqualNames(field.value, "chunked");
-      bad_framing_ = bad_framing_ || !chunked_;
-    }
-  }
-  bad_framing_ = bad_framing_ || lengths > 1 || (lengths == 1 && chunked_);
-  if (bad_framing_ || head_.status < kMinFinalStatus) {
-    // No request sent here allows interim answers (1xx) or protocol upgrades.
+  DeclaredBody declared;
+  // No request sent here allows interim answers (1xx) or protocol upgrades.
+  if (!ReadDeclaredBody(head_.headers, &declared) ||
+      head_.status < kMinFinalStatus) {
     bad_framing_ = true;
-    return -1;
+    return;
   }
   head_done_ = true;
   keep_alive_ = htparser_should_keep_alive(parser_.get()) != 0;
+  head_.content_length = declared.length;
   head_.no_body = head_request_ || head_.status == kNoContent ||
                   head_.status == kNotModified;
-  body_until_close_ = !head_.no_body && !chunked_ && head_.content_length < 0;
-  const bool no_body = head_.no_body;
+  StartBody(declared);
   if (!exchange_->IsMatchingAnswer(head_)) {
     skipping_answer_ = true;
     // Without a known length the start of the expected answer can't be found.
-    bad_framing_ = body_until_close_ || !keep_alive_;
-    complete_ = no_body;
-    return bad_framing_ || complete_ ? -1 : 0;
+    bad_framing_ = body_.end() == BodyEnd::kClose || !keep_alive_;
+    return;
   }
   ReadKeepAliveTimeout();
   exchange_->OnAnswerHead(std::move(head_));
-  if (close_after_parsing_) {
-    return -1;
-  }
-  // Returning -1 stops the parser before the body.
-  complete_ = no_body;
-  return complete_ ? -1 : 0;
 }
 
-int HttpConnection::OnMessageComplete() {
-  complete_ = !body_until_close_;
-  return -1;
+void HttpConnection::StartBody(const DeclaredBody& declared) {
+  if (head_.no_body) {
+    body_.Start(BodyEnd::kLength, 0);
+  } else if (declared.chunked) {
+    body_.Start(BodyEnd::kChunks, 0);
+  } else if (declared.length >= 0) {
+    body_.Start(BodyEnd::kLength, declared.length);
+  } else {
+    body_.Start(BodyEnd::kClose, 0);
+  }
 }
 
 void HttpConnection::FinishExchange() {
--- a/src/edge/http_connection.h
+++ b/src/edge/http_connection.h
@@ -13,7 +13,7 @@
 
 #include "comfreystand/base.h"
 #include "comfreystand/relay_protocol.h"
-#include "src/edge/chunked_framing.h"
+#include "src/edge/body_reader.h"
 #include "src/loop/event_handles.h"
 
 namespace comfreystand::edge {
@@ -126,14 +126,15 @@
   void OnEvent(short events);
   void OnWritable();
   void OnOutputChanged(size_t removed);
-  // Passes the first contiguous piece of `input` to the parser. Returns false
-  // when no further input may be parsed.
-  bool ParseInput(evbuffer* input);
-  // Reads a body that ends with the connection.
-  bool ReadUntilClose(evbuffer* input);
+  // Read the first contiguous piece of `input`. Return false when no further
+  // input may be read.
+  bool ReadHead(evbuffer* input);
+  bool ReadBody(evbuffer* input);
+  // The last byte of an answer has been removed from `input`.
+  bool OnAnswerEnd(evbuffer* input);
   void ReadKeepAliveTimeout();
-  int OnHeadComplete();
-  int OnMessageComplete();
+  void OnHeadComplete();
+  void StartBody(const DeclaredBody& declared);
   void FinishExchange();
   void Fail(ExchangeFailure failure);
   void ResetAnswer();
@@ -149,8 +150,8 @@
   std::unique_ptr<htparser, void (*)(void*)> parser_;
   State state_ = State::kNew;
   Exchange* exchange_ = nullptr;
-  // The parser or a body callback is running; the connection must not be closed
-  // until it returns.
+  // The parser or a callback of the exchange is running; the connection must
+  // not be closed until it returns.
   bool parsing_ = false;
   // Fail() was called while `parsing_` was set.
   bool close_after_parsing_ = false;
@@ -161,18 +162,13 @@
   bool answer_begun_ = false;
   bool head_request_ = false;
   bool head_done_ = false;
-  bool complete_ = false;
-  bool body_until_close_ = false;
   bool keep_alive_ = true;
-  bool chunked_ = false;
-  // Of the body, when it is sent in chunks.
-  ChunkedFraming framing_;
+  BodyReader body_;
   bool bad_framing_ = false;
   // The answer being read belongs to an earlier request.
   bool skipping_answer_ = false;
-  // Bytes read since the start of the exchange or its last byte of a body.
-  // Bounds heads, chunk lengths, trailers and answers to earlier requests.
-  size_t bytes_since_body_ = 0;
+  // Bytes of heads and of skipped answers since the start of the exchange.
+  size_t bytes_before_body_ = 0;
   Duration keep_alive_timeout_{0};
   AnswerHead head_;
 };
--- a/tests/support/scripted_server.cc
+++ b/tests/support/scripted_server.cc
@@ -57,6 +57,12 @@
   bufferevent_write(connection, answer.data(), answer.size());
 }
 
+void ScriptedServer::Send(size_t connection, std::string_view bytes) {
+  if (bufferevent* open = connections_[connection]) {
+    bufferevent_write(open, bytes.data(), bytes.size());
+  }
+}
+
 void ScriptedServer::CloseAfterFlush(size_t connection) {
   bufferevent_setcb(
       connections_[connection], nullptr,
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "tests/support/loopback_listener.h"
@@ -27,6 +28,8 @@
   ScriptedServer& operator=(const ScriptedServer&) = delete;
 
   std::string address() const { return listener_.address(); }
+  // Sends more bytes on a connection.
+  void Send(size_t connection, std::string_view bytes);
   // Closes a connection once its bytes have been sent.
   void CloseAfterFlush(size_t connection);
 
