Read a connection on after the end of a large body (CONFIG)

Cause: the piece of input that fills the buffer stops reading. If it also ends the body, every place that starts reading again is skipped, as they ask for an incomplete body.

Change: the end of a body starts reading again.

Evidence: edge_upload_test failed at 262,145 and 262,600 bytes, answered and refused, without the change; it passes at all six sizes with it.

--- a/src/edge/relay.cc
+++ b/src/edge/relay.cc
@@ -127,6 +127,11 @@
 
 void Relay::OnRequestComplete() {
   body_complete_ = true;
+  // Reading may have been paused by the last part of the body; what follows on
+  // the connection doesn't belong to this request.
+  if (connection_) {
+    connection_->ResumeReading();
+  }
   if (refuse_after_body_) {
     Refuse(refusal_);
     return;
--- a/tests/support/fake_dispatcher.cc
+++ b/tests/support/fake_dispatcher.cc
@@ -175,7 +175,7 @@
       Reject(current->first, RejectReason::kDeadlineExceeded);
     }
   }
-  if (actions_.empty()) {
+  if (held || actions_.empty()) {
     return false;
   }
   *action = actions_.front();
--- a/tests/support/fake_dispatcher.h
+++ b/tests/support/fake_dispatcher.h
@@ -22,6 +22,8 @@
   bool hedge = false;
   // Rejects every request as overloaded.
   bool overloaded = false;
+  // Returns no actions while set, as when no slot is free.
+  bool held = false;
   std::vector<steer::AttemptReport> reports;
   std::vector<steer::LoadReport> load_reports;
   // Backend server of each finished probe, and whether it answered.
