End an answer that goes on after the time limit of its route (CONFIG)

Cause: the dispatcher's timer ends when the delivery of an answer begins, and the relay had none.

Ruled out: that memory grows; each part of an answer is limited.

Change: the rest of an answer may arrive until 200 ms after the deadline, not counting the time in which the caller reads too slowly. Then it is broken off, counted as answer_overdue.

Evidence: gateway_endless_answer_test failed for chunks, no length and a length (open after 2 s) without the change; with it all three end before 1.5 s, and an answer to a slow reader is still delivered whole.

--- a/include/comfreystand/relay_protocol.h
+++ b/include/comfreystand/relay_protocol.h
@@ -80,6 +80,8 @@
   kCallerReset,
   kAnswerTruncated,
   kAnswerTooLarge,
+  // An answer that had begun was not complete soon after the deadline.
+  kAnswerOverdue,
   kCount,
 };
 
--- a/src/edge/attempt.cc
+++ b/src/edge/attempt.cc
@@ -1,6 +1,6 @@
 #include "src/edge/attempt.h"
 
-#include <charconv>
+#include <algorithm>
 #include <utility>
 
 #include "comfreystand/limits.h"
@@ -10,6 +10,15 @@
 
 using steer::AttemptEvent;
 
+// Time after the deadline of a request in which the rest of its answer may
+// still arrive.
+constexpr std::chrono::milliseconds kOverdueAnswerTime{200};
+
+Duration ToDuration(const timeval& time) {
+  return std::chrono::seconds(time.tv_sec) +
+         std::chrono::microseconds(time.tv_usec);
+}
+
 bool IsFinal(AttemptEvent event) {
   return event != AttemptEvent::kWritten &&
          event != AttemptEvent::kAnswerStarted &&
@@ -72,9 +81,13 @@
   event_add(timer_.get(), &wait);
 }
 
-// Without a connection the attempt fails; with one, a cancellation timed out.
+// Without a connection the attempt fails; with one, a cancellation timed out or
+// the time for an answer is over.
 void Attempt::OnTimer() {
   if (connection_) {
+    if (sink_) {
+      delegate_->CountFault(Fault::kAnswerOverdue);
+    }
     connection_->Close();
     return;
   }
@@ -196,7 +209,7 @@
     ReportStarted();
   }
   if (buffered_bytes > limits::kRelayBufferBytes) {
-    connection_->PauseReading();
+    Pause();
   }
 }
 
@@ -240,8 +253,11 @@
   FinishIfDone();
 }
 
-void Attempt::Deliver(AnswerSink* sink) {
+void Attempt::Deliver(AnswerSink* sink, Duration time_left) {
   sink_ = sink;
+  if (connection_) {
+    LimitAnswerTime(time_left);
+  }
   sink_->OnHead(head_);
   ForwardAnswer();
   FinishIfDone();
@@ -263,21 +279,39 @@
   }
 }
 
+void Attempt::LimitAnswerTime(Duration time_left) {
+  SetTimer(std::max(time_left, Duration::zero()) + kOverdueAnswerTime);
+}
+
+// While the caller reads slowly, the backend server can't send on.
 void Attempt::Pause() {
-  if (connection_) {
-    connection_->PauseReading();
+  if (!connection_) {
+    return;
+  }
+  connection_->PauseReading();
+  timeval now = {};
+  timeval end = {};
+  evutil_gettimeofday(&now, nullptr);
+  if (sink_ && event_pending(timer_.get(), EV_TIMEOUT, &end) != 0) {
+    event_del(timer_.get());
+    paused_time_left_ = ToDuration(end) - ToDuration(now);
   }
 }
 
 void Attempt::Resume() {
-  if (connection_) {
-    connection_->ResumeReading();
+  if (!connection_) {
+    return;
+  }
+  connection_->ResumeReading();
+  if (const auto time_left = std::exchange(paused_time_left_, std::nullopt)) {
+    SetTimer(std::max(*time_left, Duration::zero()));
   }
 }
 
 void Attempt::Discard() {
   sink_ = nullptr;
   discarded_ = true;
+  paused_time_left_.reset();
   evbuffer_drain(buffered_body_.get(),
                  evbuffer_get_length(buffered_body_.get()));
   Resume();
--- a/src/edge/attempt.h
+++ b/src/edge/attempt.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYSTAND_SRC_EDGE_ATTEMPT_H_
 #define COMFREYSTAND_SRC_EDGE_ATTEMPT_H_
 
+#include <optional>
 #include <string>
 
 #include "comfreystand/edge.h"
@@ -73,8 +74,9 @@
   void EndRequest();
   size_t UnwrittenBytes() const;
 
-  // Delivers the answer to `sink`, starting with its head.
-  void Deliver(AnswerSink* sink);
+  // Delivers the answer to `sink`, starting with its head. The rest of it may
+  // take `time_left` to arrive, not counting the time in which it is paused.
+  void Deliver(AnswerSink* sink, Duration time_left);
   // Flow control of the answer: stop and resume reading it.
   void Pause();
   void Resume();
@@ -108,6 +110,8 @@
   void SetTimer(Duration delay);
   void FinishIfDone();
   void ForwardAnswer();
+  // Limits the time in which the rest of a delivered answer arrives.
+  void LimitAnswerTime(Duration time_left);
 
   const Identity identity_;
   const AttemptInfo info_;
@@ -120,6 +124,8 @@
   AnswerHead head_;
   BufferPtr buffered_body_ = NewBuffer();
   EventPtr timer_;
+  // Set while the delivered answer is paused: time left for the rest of it.
+  std::optional<Duration> paused_time_left_;
   uint64_t body_bytes_ = 0;
   AnswerInfo answer_;
   bool written_ = false;
--- a/src/edge/relay.cc
+++ b/src/edge/relay.cc
@@ -254,13 +254,13 @@
   }
 }
 
-void Relay::Deliver(Attempt* attempt) {
+void Relay::Deliver(Attempt* attempt, TimePoint now) {
   if (state_ != State::kPending) {
     return;
   }
   state_ = State::kAnswering;
   delivering_attempt_ = attempt;
-  attempt->Deliver(this);
+  attempt->Deliver(this, request_.traits.deadline - now);
 }
 
 std::string Relay::FormatAnswerHead(const AnswerHead& head) {
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -100,8 +100,8 @@
   void RemoveAttempt(Attempt* attempt);
   // Discards the answers of all attempts.
   void DiscardAttempts();
-  // Sends the answer of `attempt` to the caller.
-  void Deliver(Attempt* attempt);
+  // Sends the answer of `attempt` to the caller. `now`: as in RequestTraits.
+  void Deliver(Attempt* attempt, TimePoint now);
   // An attempt has sent all bytes written to it.
   void OnAttemptFlushed();
 
--- a/src/edge/relay_protocol.cc
+++ b/src/edge/relay_protocol.cc
@@ -61,7 +61,7 @@
         "unknown_service",  "unknown_path",      "bad_header_value",
         "deadline_passed",  "ticket_missing",    "ticket_refused",
         "too_many_callers", "caller_timeout",    "caller_reset",
-        "answer_truncated", "answer_too_large",
+        "answer_truncated", "answer_too_large",  "answer_overdue",
 };
 
 bool HasControlBytes(std::string_view value) {
--- a/src/edge/server_actions.cc
+++ b/src/edge/server_actions.cc
@@ -157,7 +157,7 @@
     return;
   }
   ++stats_.answers_delivered;
-  relay->Deliver(attempt);
+  relay->Deliver(attempt, clock_->Now());
 }
 
 void Server::Impl::OnProbe(const steer::Action& action) {
--- a/tests/gateway_endless_answer_test.cc
+++ b/tests/gateway_endless_answer_test.cc
@@ -105,5 +105,60 @@
   }
 }
 
+// Guards against answers that outlive the time limit of their route (CONFIG).
+TEST_CASE("an answer that goes on slowly ends with its route's time limit") {
+  constexpr std::chrono::milliseconds kTimeLimit{1'000};
+  struct SlowCase {
+    const char* name;
+    std::string begin;
+    std::string block;
+  };
+  const std::string head(kOkHead);
+  const SlowCase cases[] = {
+      {"chunks", head + "Transfer-Encoding: chunked\r\n\r\n", Chunk(8'192)},
+      {"no length", head + "\r\n", std::string(8'192, 'x')},
+      {"a length", head + "Content-Length: 50000000\r\n\r\n",
+       std::string(8'192, 'x')}};
+  for (const SlowCase& c : cases) {
+    CAPTURE(std::string(c.name));
+    GatewayFixture fixture(0);
+    EndlessServer server(fixture.loop.base(), c.begin, c.block,
+                         std::chrono::milliseconds(20));
+    server.SetHealthAnswer(
+        "HTTP/1.1 200 OK\r\nComfreystand-Instance-Id: i-0\r\n"
+        "Connection: close\r\nContent-Length: 0\r\n\r\n");
+    fixture.RegisterAt("i-0", server.address());
+    REQUIRE(fixture.WaitUntilBackendsReady(1));
+    const TimePoint begin = fixture.loop.Now();
+    const auto caller = fixture.OpenCaller(GatewayRequest(
+        "POST", "/book/x", "r1", "Comfreystand-Deadline-Ms: 60000\r\n", "b"));
+    standins::RunUntil(&fixture.loop, kTimeLimit + kTimeLimit,
+                       [&] { return caller->closed(); });
+    const Duration taken = fixture.loop.Now() - begin;
+    CHECK(taken >= kTimeLimit);
+    CHECK(taken < kTimeLimit + std::chrono::milliseconds(500));
+    CHECK(fixture.WaitUntil([&] { return server.open_connections() == 0; }));
+    // Doesn't look complete.
+    CHECK(caller->failed());
+    CHECK_FALSE(caller->HasReceived("\r\n0\r\n"));
+  }
+}
+
+TEST_CASE("an answer is delivered late to a caller that reads slowly") {
+  GatewayFixture fixture(1);
+  REQUIRE(fixture.WaitUntilBackendsReady(1));
+  const auto caller = fixture.OpenCaller(
+      GatewayRequest("POST", "/book/x?bytes=30000000", "r1",
+                     "Comfreystand-Deadline-Ms: 60000\r\n", "b"));
+  caller->SetReading(false);
+  standins::RunUntil(&fixture.loop, std::chrono::milliseconds(1'600),
+                     [] { return false; });
+  caller->SetReading(true);
+  CHECK(fixture.WaitUntil([&] {
+    return caller->closed() || caller->received().size() > 30'000'000;
+  }));
+  CHECK_FALSE(caller->closed());
+}
+
 }  // namespace
 }  // namespace comfreystand::platform
