Limit the head and the time of answers to control calls

Seen: a call to a server that sends a head without end had no outcome after 100 s, far beyond its timeout of 0.4 s, while the bytes were kept.

Cause: only the body was limited, and the timeout of libevent's client ends a call when nothing arrives.

Change: the head is limited to 64 KiB; a whole answer has to be there within two timeouts, which also ends one that trickles.

Evidence: gateway_endless_answer_test, in a head and slowly; it did not end without the change (stopped after 100 s).

--- a/include/comfreystand/http_client.h
+++ b/include/comfreystand/http_client.h
@@ -32,6 +32,8 @@
   std::string target;
   std::map<std::string, std::string> headers;
   std::string body;
+  // Ends the call when nothing arrives for so long. The whole answer may take
+  // twice as long.
   Duration timeout = std::chrono::seconds(2);
 };
 
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -39,6 +39,13 @@
 // earlier than that.
 constexpr Duration kConnectTimeout{500'000};
 
+// The timeout of a call ends it when nothing arrives for so long; in this many
+// timeouts the whole answer has to be there.
+constexpr int kMaxTimeouts = 2;
+
+// Status line and headers of an answer.
+constexpr size_t kMaxHeadBytes = size_t{64} << 10;
+
 // Enables TCP keepalive and limits the time that sent bytes may stay
 // unacknowledged, so that a dead connection is detected while a call waits for
 // its answer.
@@ -134,6 +141,11 @@
       return;
     }
     PendingCall* key = call.get();
+    key->overdue_event.reset(event_new(
+        base_, -1, 0, [](evutil_socket_t, short, void* arg) { OnOverdue(arg); },
+        key));
+    const timeval limit = ToTimeval(request.timeout * kMaxTimeouts);
+    event_add(key->overdue_event.get(), &limit);
     pending_calls_[key] = std::move(call);
   }
 
@@ -159,6 +171,8 @@
     ResponseCallback done;
     // Outcome that is reported when no answer arrives.
     Outcome failure = Outcome::kNotSent;
+    // Ends a call whose answer keeps arriving.
+    EventPtr overdue_event;
   };
 
   // Timeout of the call on a connection.
@@ -195,6 +209,8 @@
   evhttp_connection* OpenConnection() {
     evhttp_connection* connection =
         evhttp_connection_base_new(base_, nullptr, host_.c_str(), port_);
+    evhttp_connection_set_max_headers_size(
+        connection, static_cast<ev_ssize_t>(kMaxHeadBytes));
     evhttp_connection_set_max_body_size(
         connection, static_cast<ev_ssize_t>(limits::kMaxStoreValueBytes * 2));
     auto timeout = std::make_unique<Timeout>();
@@ -256,6 +272,18 @@
     self->Complete(call, native_request);
   }
 
+  static void OnOverdue(void* arg) {
+    auto* key = static_cast<PendingCall*>(arg);
+    // The callback may destroy the client.
+    const std::shared_ptr<Impl> self = key->owner->shared_from_this();
+    const auto node = self->pending_calls_.extract(key);
+    const PendingCall& call = *node.mapped();
+    self->ResetConnection(call.connection);
+    Response response;
+    response.outcome = Outcome::kNoAnswer;
+    call.done(response);
+  }
+
   void Complete(PendingCall* key, evhttp_request* native_request) {
     const auto node = pending_calls_.extract(key);
     const PendingCall& call = *node.mapped();
--- a/tests/gateway_endless_answer_test.cc
+++ b/tests/gateway_endless_answer_test.cc
@@ -105,6 +105,44 @@
   }
 }
 
+// Calls a server and returns the outcome.
+http::Outcome CallServer(EventLoop* loop, const std::string& address) {
+  http::Client client(loop->base(), address);
+  http::Request request;
+  request.target = "/";
+  request.timeout = std::chrono::milliseconds(400);
+  http::Outcome outcome = http::Outcome::kAnswered;
+  client.Call(request, [&](const http::Response& answer) {
+    outcome = answer.outcome;
+    loop->Stop();
+  });
+  loop->Run();
+  return outcome;
+}
+
+// Guards against memory that runs out, and calls that never end, by one answer
+// of the store or of another node.
+TEST_CASE("bytes without end are cut off in calls to the store and to nodes") {
+  EventLoop loop;
+  const std::string field = "HTTP/1.1 200 OK\r\nA: ";
+  SUBCASE("in a head") {
+    for (const std::string& begin :
+         {std::string(), std::string("HTTP/1.1 200 O"), field}) {
+      CAPTURE(begin);
+      EndlessServer server(loop.base(), begin, std::string(4'096, 'a'));
+      CHECK(CallServer(&loop, server.address()) == http::Outcome::kNoAnswer);
+      CHECK(server.bytes_sent() < (size_t{16} << 20));
+    }
+  }
+  SUBCASE("that come slowly") {
+    EndlessServer server(loop.base(), field, "a",
+                         std::chrono::milliseconds(20));
+    const TimePoint begin = loop.Now();
+    CHECK(CallServer(&loop, server.address()) == http::Outcome::kNoAnswer);
+    CHECK(loop.Now() - begin < std::chrono::seconds(1));
+  }
+}
+
 // Guards against answers that outlive the time limit of their route (CONFIG).
 TEST_CASE("an answer that goes on slowly ends with its route's time limit") {
   constexpr std::chrono::milliseconds kTimeLimit{1'000};
