Pass nothing on that the end of a planned stop would cut off (LOST)

Cause: a stop was looked at when a head arrived, and not again.

Ruled out: requests that come whole; none of those was lost.

Change: StopSchedule decides what may still be passed on, and is asked for each attempt, for the last bytes of a body and for its end.

--- a/include/comfreystand/edge.h
+++ b/include/comfreystand/edge.h
@@ -13,6 +13,7 @@
 #include "comfreystand/relay_protocol.h"
 #include "comfreystand/steer/dispatch.h"
 #include "comfreystand/steer/lookup.h"
+#include "comfreystand/stop_schedule.h"
 
 struct event_base;
 
@@ -156,6 +157,10 @@
   size_t max_request_header_bytes = limits::kMaxRequestHeaderBytes;
   size_t max_request_body_bytes = limits::kMaxRequestBodyBytes;
   size_t max_answer_body_bytes = limits::kMaxAnswerBodyBytes;
+  // Requests with bodies up to this size are submitted once they have arrived
+  // whole, so that an upload that is slow or stalls needs no backend server;
+  // zero submits all at once.
+  size_t max_held_body_bytes = 0;
   // Request bodies up to this size are buffered for further attempts.
   size_t max_replay_body_bytes = limits::kMaxReplayBodyBytes;
   int max_backend_connections = limits::kMaxBackendConnections;
@@ -259,9 +264,9 @@
   void SetCallerLimits(const CallerLimits& limits);
 
   void SetDrainState(DrainState state);
-  // Refuses requests that are read from `when` on, as in
-  // DrainState::kRefusing, even if the loop is too busy to change the state.
-  void RefuseFrom(TimePoint when);
+  // Sets when requests are refused, as in DrainState::kRefusing, even if the
+  // loop is too busy to change the state, and when the process exits.
+  void SetStopSchedule(const StopSchedule& schedule);
 
   // Schedules the dispatcher's pending actions to run on the loop. Call this
   // after changing the dispatcher's state from outside the server.
--- a/src/edge/relay.cc
+++ b/src/edge/relay.cc
@@ -8,6 +8,7 @@
 namespace comfreystand::edge {
 namespace {
 
+constexpr int kRequestTimeout = 408;
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
 
@@ -35,6 +36,39 @@
       protocol_(protocol),
       delegate_(delegate) {}
 
+void Relay::Hold(event_base* base, Duration timeout) {
+  hold_timer_.reset(event_new(
+      base, -1, 0,
+      [](evutil_socket_t, short, void* self) {
+        static_cast<Relay*>(self)->OnHoldTimeout();
+      },
+      this));
+  const timeval wait = ToTimeval(timeout);
+  event_add(hold_timer_.get(), &wait);
+}
+
+void Relay::OnHoldTimeout() {
+  delegate_->CountFault(Fault::kCallerTimeout);
+  Refuse(
+      {.status = kRequestTimeout, .error = "request_timeout", .close = true});
+}
+
+void Relay::Release() {
+  hold_timer_.reset();
+  delegate_->OnHeldRequestReady(this);
+}
+
+RunVerdict Relay::VerdictSoFar() const {
+  const bool all_not_run = std::all_of(
+      attempt_records_.begin(), attempt_records_.end(),
+      [](const AttemptRecord& record) {
+        return record.event == steer::AttemptEvent::kRefused ||
+               record.event == steer::AttemptEvent::kConnectFailed ||
+               record.event == steer::AttemptEvent::kCancelledBeforeStart;
+      });
+  return all_not_run ? RunVerdict::kNotRun : RunVerdict::kMayHaveRun;
+}
+
 void Relay::CloseAfterAnswer() {
   if (connection_) {
     connection_->CloseAfter(reply_);
@@ -63,6 +97,7 @@
   connection_->Write(
       reply_, protocol_->FormatRefusal(refusal, &request_,
                                        connection_->MayKeepAlive(reply_)));
+  hold_timer_.reset();
   state_ = State::kFinished;
   status_ = refusal.status;
   reason_ = refusal.error;
@@ -86,6 +121,9 @@
             .close = true});
     return;
   }
+  if (!attempts_.empty() && IsLastPart() && !delegate_->PassesOn(this)) {
+    return;
+  }
   for (Attempt* attempt : attempts_) {
     const BufferPtr part = NewBuffer();
     evbuffer_add_buffer_reference(part.get(), data);
@@ -100,9 +138,17 @@
     body_discarded_ = true;
     evbuffer_drain(body_.get(), buffered_bytes_before);
   }
+  if (held() && evbuffer_get_length(body_.get()) > init_.max_held_body_bytes) {
+    Release();
+  }
   PauseCallerIfBufferFull();
 }
 
+bool Relay::IsLastPart() const {
+  return request_.content_length >= 0 &&
+         reply_->body_bytes >= static_cast<uint64_t>(request_.content_length);
+}
+
 // Stops reading the request body while too much of it is buffered, which
 // happens when a backend server reads slowly or no attempt has been started
 // yet.
@@ -136,6 +182,14 @@
     Refuse(refusal_);
     return;
   }
+  if (held()) {
+    Release();
+    return;
+  }
+  const bool has_end_to_send = !attempts_.empty() && !IsLastPart();
+  if (has_end_to_send && !delegate_->PassesOn(this)) {
+    return;
+  }
   for (Attempt* attempt : attempts_) {
     WriteBodyPart(attempt, nullptr);
   }
@@ -147,6 +201,7 @@
     state_ = State::kFinished;
     Attempt* delivering = std::exchange(delivering_attempt_, nullptr);
     delegate_->OnRelayAborted(this);
+    hold_timer_.reset();
     if (delivering) {
       delivering->Cancel();
     }
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -17,6 +17,11 @@
 class RelayDelegate {
  public:
   virtual ~RelayDelegate() = default;
+  // A held request has arrived whole, or as much of it as may be held.
+  virtual void OnHeldRequestReady(Relay* relay) = 0;
+  // Whether the rest of the request may be passed on to backend servers. If
+  // not, the request has been refused.
+  virtual bool PassesOn(Relay* relay) = 0;
   // The answer was handed to the connection completely or was truncated.
   virtual void OnRelayFinished(Relay* relay,
                                RunVerdict verdict,
@@ -56,6 +61,11 @@
   RequestHandle handle() const { return handle_; }
   void set_handle(RequestHandle handle) { handle_ = handle; }
 
+  // Waits for the body of the request before it is submitted, at most until
+  // `timeout` has passed.
+  void Hold(event_base* base, Duration timeout);
+  bool held() const { return hold_timer_ != nullptr; }
+
   // Closes the caller's connection after the answer.
   void CloseAfterAnswer();
   // Gives up the request if the caller has left, which this process may not
@@ -83,6 +93,8 @@
     std::optional<Duration> wait;
   };
   std::vector<AttemptRecord>& attempt_records() { return attempt_records_; }
+  // Whether any attempt of the request may have run.
+  RunVerdict VerdictSoFar() const;
   // HTTP status sent to the caller; 0 while there is none.
   int status() const { return status_; }
   // Error code of the refusal; empty when the request was not refused.
@@ -119,6 +131,11 @@
   void OnTruncated() override;
 
  private:
+  void OnHoldTimeout();
+  // Ends the hold of a request.
+  void Release();
+  // Whether the part of the body that has just arrived is its last.
+  bool IsLastPart() const;
   void SendBufferedBody(Attempt* attempt);
   void WriteBodyPart(Attempt* attempt, evbuffer* part);
   std::string FormatRequestHead(const Attempt& attempt,
@@ -138,6 +155,8 @@
   // Request body buffered for further attempts.
   BufferPtr body_ = NewBuffer();
   bool body_complete_ = false;
+  // Set while the request is held.
+  EventPtr hold_timer_;
   // Part of the body is no longer buffered, so no further attempt can be
   // started.
   bool body_discarded_ = false;
--- a/src/edge/server.cc
+++ b/src/edge/server.cc
@@ -47,8 +47,9 @@
 void Server::SetDrainState(DrainState state) {
   impl_->SetDrainState(state);
 }
-void Server::RefuseFrom(TimePoint when) {
-  impl_->RefuseFrom(when);
+
+void Server::SetStopSchedule(const StopSchedule& schedule) {
+  impl_->SetStopSchedule(schedule);
 }
 
 void Server::ScheduleActions() {
--- a/src/edge/server_actions.cc
+++ b/src/edge/server_actions.cc
@@ -78,6 +78,12 @@
         {.event = steer::AttemptEvent::kCancelledBeforeStart});
     return;
   }
+  if (relay && !PassesOn(relay)) {
+    dispatcher_->OnAttempt(
+        now, action.attempt,
+        {.event = steer::AttemptEvent::kCancelledBeforeStart});
+    return;
+  }
   const bool is_pending = relay && relay->state() == Relay::State::kPending;
   HttpConnection* connection =
       is_pending ? AcquireConnection(relay, action.backend) : nullptr;
@@ -370,7 +376,9 @@
 }
 
 void Server::Impl::OnRelayAborted(Relay* relay) {
-  if (relays_by_handle_.erase(relay->handle()) > 0) {
+  if (relay->held()) {
+    RecordFinishedRequest(relay, RequestEnd::kCallerDisconnected);
+  } else if (relays_by_handle_.erase(relay->handle()) > 0) {
     RecordFinishedRequest(relay, RequestEnd::kCallerDisconnected);
     dispatcher_->CancelRequest(clock_->Now(), relay->handle());
     relay->DiscardAttempts();
--- a/src/edge/server_impl.h
+++ b/src/edge/server_impl.h
@@ -49,13 +49,17 @@
                  std::vector<ClassName> classes);
   void SetCallerLimits(const CallerLimits& limits);
   void SetDrainState(DrainState state);
-  void RefuseFrom(TimePoint when) { refuse_from_ = when; }
+  void SetStopSchedule(const StopSchedule& schedule) {
+    stop_schedule_ = schedule;
+  }
   void ScheduleActions();
   bool IsIdle() const { return relays_by_handle_.empty(); }
   Caps GetCaps() const;
   Stats GetStats() const;
 
   // RelayDelegate:
+  void OnHeldRequestReady(Relay* relay) override;
+  bool PassesOn(Relay* relay) override;
   void OnRelayFinished(Relay* relay,
                        RunVerdict verdict,
                        RequestEnd end) override;
@@ -97,6 +101,12 @@
                         Reply* reply,
                         std::string_view text);
   void StartRelay(CallerConnection* connection, Reply* reply);
+  void Submit(Relay* relay);
+  void RefuseHeldRequests();
+  // Whether a request waits for its body before it is submitted.
+  bool IsToBeHeld(const RelayRequest& request) const;
+  bool RefusesArrivals() const;
+  Refusal StopRefusal(RunVerdict verdict) const;
   // Returns false and sets `refusal` when the server refuses new requests, the
   // request's ticket is refused or a required ticket is missing.
   bool CheckDrainAndTicket(const RelayRequest& request, Refusal* refusal);
@@ -139,7 +149,7 @@
   Stats stats_;
   uint16_t port_ = 0;
   DrainState drain_state_ = DrainState::kServing;
-  TimePoint refuse_from_ = TimePoint::max();
+  StopSchedule stop_schedule_;
   LookupReply lookup_reply_;
   // Random prefix that makes attempt names unique across processes.
   std::string attempt_prefix_;
--- a/src/edge/server_listen.cc
+++ b/src/edge/server_listen.cc
@@ -146,6 +146,22 @@
       connection->CloseWhenIdle();
     }
   }
+  if (state == DrainState::kRefusing) {
+    RefuseHeldRequests();
+  }
+}
+
+// Their bodies have not arrived, so that none of them has been passed on.
+void Server::Impl::RefuseHeldRequests() {
+  std::vector<Relay*> held;
+  for (const auto& [relay, owned] : relays_) {
+    if (relay->held()) {
+      held.push_back(relay);
+    }
+  }
+  for (Relay* relay : held) {
+    relay->Refuse(StopRefusal(RunVerdict::kNotRun));
+  }
 }
 
 void Server::Impl::OnRequestHead(CallerConnection* connection, Reply* reply) {
@@ -207,18 +223,68 @@
     }
     return;
   }
-  relay->set_handle(dispatcher_->Submit(now, relay->request().traits));
+  const Duration time_left = relay->request().traits.deadline - now;
+  if (IsToBeHeld(relay->request()) && time_left > Duration::zero()) {
+    relay->Hold(base_, time_left);
+    return;
+  }
+  Submit(relay);
+}
+
+void Server::Impl::Submit(Relay* relay) {
+  relay->set_handle(
+      dispatcher_->Submit(clock_->Now(), relay->request().traits));
   relays_by_handle_.emplace(relay->handle(), relay);
   ScheduleActions();
 }
 
+// Bodies of unknown length are held too, until they turn out to be too large.
+bool Server::Impl::IsToBeHeld(const RelayRequest& request) const {
+  return request.content_length != 0 && init_.max_held_body_bytes > 0 &&
+         request.content_length <=
+             static_cast<int64_t>(init_.max_held_body_bytes);
+}
+
+void Server::Impl::OnHeldRequestReady(Relay* relay) {
+  if (RefusesArrivals()) {
+    relay->Refuse(StopRefusal(RunVerdict::kNotRun));
+    return;
+  }
+  Submit(relay);
+}
+
+bool Server::Impl::PassesOn(Relay* relay) {
+  const TimePoint now = clock_->Now();
+  if (stop_schedule_.MayPassOn(now, relay->request().traits.deadline)) {
+    return true;
+  }
+  const Refusal refusal = StopRefusal(relay->VerdictSoFar());
+  dispatcher_->CancelRequest(now, relay->handle());
+  relay->Refuse(refusal);
+  ScheduleActions();
+  return false;
+}
+
+bool Server::Impl::RefusesArrivals() const {
+  return drain_state_ == DrainState::kRefusing ||
+         stop_schedule_.RefusesArrivals(clock_->Now());
+}
+
+Refusal Server::Impl::StopRefusal(RunVerdict verdict) const {
+  steer::Action draining;
+  draining.verdict = verdict;
+  draining.reason = steer::RejectReason::kDraining;
+  draining.retry_after = std::chrono::seconds(1);
+  Refusal refusal = protocol_->RefusalFor(draining);
+  refusal.close = true;
+  return refusal;
+}
+
 bool Server::Impl::CheckDrainAndTicket(const RelayRequest& request,
                                        Refusal* refusal) {
-  if (drain_state_ == DrainState::kRefusing || clock_->Now() >= refuse_from_) {
-    steer::Action draining;
-    draining.reason = steer::RejectReason::kDraining;
-    draining.retry_after = std::chrono::seconds(1);
-    *refusal = protocol_->RefusalFor(draining);
+  if (RefusesArrivals()) {
+    *refusal = StopRefusal(RunVerdict::kNotRun);
+    refusal->close = false;
     return false;
   }
   if (request.traits.idempotent || !tickets_) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -67,6 +67,7 @@
     init.connect_timeout = kConnectTimeout;
     init.unacknowledged_timeout = kUnacknowledgedTimeout;
     init.max_answer_body_bytes = limits::kMaxAnswerBodyBytes;
+    init.max_held_body_bytes = limits::kMaxHeldBodyBytes;
     const int max_sockets =
         std::max(64, settings_.max_descriptors - kReservedDescriptors);
     init.max_backend_connections =
@@ -197,7 +198,9 @@
     nodes_.WithdrawSelf();
     OnNodesChanged();
     server_->SetDrainState(edge::DrainState::kDraining);
-    server_->RefuseFrom(requested_at + kRefuseAfter);
+    server_->SetStopSchedule(
+        {.refuse_from = requested_at + kRefuseAfter,
+         .exit_at = requested_at + settings_.grace - kStopMargin});
     ContinueStop();
   }
 
--- /dev/null
+++ b/tests/planned_stop_test.cc
@@ -0,0 +1,177 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "comfreystand/limits.h"
+#include "tests/support/gateway_fixture.h"
+
+// Requests whose bodies arrive while a gateway stops.
+namespace comfreystand::platform {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::GatewayConfig;
+using testing::GatewayFixture;
+using testing::GatewayRequest;
+using testing::RawCaller;
+
+constexpr seconds kGrace{6};
+
+// A gateway that stops; it ends when its grace is over.
+struct Fixture : GatewayFixture {
+  Fixture() : GatewayFixture(1) {
+    store.Put("op/config",
+              GatewayConfig(
+                  2, R"(,"slow":{"host":"a.example","prefix":"/slow/",)"
+                     R"("kind":"non_idempotent","timeoutMs":9000,"goalMs":300,)"
+                     R"("priority":1,"service":"desk","maxAttempts":2,)"
+                     R"("sticky":false,"allowedRegions":[]})"));
+    REQUIRE(WaitUntilBackendsReady(1));
+    REQUIRE(WaitUntil([this] {
+      return gateway->gateway().GetStats().version == ConfigVersion{2};
+    }));
+  }
+
+  // Stops the gateway as if the stop had been requested `since` ago.
+  void BeginStop(Duration since) {
+    requested_at = loop.Now() - since;
+    gateway->BeginStop(requested_at, [this] { stopped = true; });
+  }
+
+  void WaitUntilSince(Duration since) {
+    WaitUntil([&] { return loop.Now() - requested_at >= since; });
+  }
+
+  // Begins an upload of `size` bytes and sends all but the last one.
+  std::unique_ptr<RawCaller> BeginUpload(const std::string& target,
+                                         size_t size) {
+    const std::string request =
+        GatewayRequest("POST", target, "late", {}, std::string(size, 'y'));
+    auto caller = OpenCaller(request.substr(0, request.size() - 1));
+    standins::RunUntil(&loop, milliseconds(100), [] { return false; });
+    return caller;
+  }
+
+  // Runs until the caller is answered or the gateway has ended.
+  void WaitForEnd(const RawCaller& caller) {
+    WaitUntil([&] {
+      if (stopped) {
+        gateway.reset();
+      }
+      return caller.closed() || caller.AnswerCount() > 0;
+    });
+    WaitUntil([&] { return caller.closed() || caller.AnswerCount() > 0; });
+  }
+
+  TimePoint requested_at{};
+  bool stopped = false;
+};
+
+constexpr size_t kSmall = 200;
+constexpr size_t kLarge = 3 * limits::kMaxHeldBodyBytes;
+
+// Guards against requests that are passed on late in a stop and cut off without
+// an answer at its end (LOST).
+TEST_CASE("an upload whose end arrives late in a planned stop") {
+  Fixture fixture;
+  fixture.BeginStop(milliseconds(2'400));
+  SUBCASE("is refused as not run when it is small") {
+    const auto caller = fixture.BeginUpload("/slow/a?work_ms=3000", kSmall);
+    fixture.WaitUntilSince(milliseconds(3'100));
+    caller->Send("y");
+    fixture.WaitForEnd(*caller);
+    CHECK(caller->LastStatus() == 503);
+    CHECK(caller->HasReceived("Connection: close"));
+    CHECK(fixture.CountRuns("late") == 0);
+  }
+  SUBCASE("is broken off before its end is passed on when it is large") {
+    const auto caller = fixture.BeginUpload("/slow/a?work_ms=3000", kLarge);
+    fixture.WaitUntilSince(milliseconds(3'100));
+    caller->Send("y");
+    fixture.WaitForEnd(*caller);
+    CHECK(caller->LastStatus() == 502);
+    CHECK(fixture.CountRuns("late") == 0);
+  }
+  SUBCASE("is served when it is large and ends within the grace") {
+    const auto caller = fixture.BeginUpload("/book/a?work_ms=100", kLarge);
+    fixture.WaitUntilSince(milliseconds(2'900));
+    caller->Send("y");
+    fixture.WaitForEnd(*caller);
+    CHECK(caller->LastStatus() == 200);
+    CHECK(fixture.CountRuns("late") == 1);
+  }
+  SUBCASE("is served when it ends before requests are refused") {
+    const auto caller = fixture.BeginUpload("/slow/a?work_ms=100", kSmall);
+    fixture.WaitUntilSince(milliseconds(2'600));
+    caller->Send("y");
+    fixture.WaitForEnd(*caller);
+    CHECK(caller->LastStatus() == 200);
+  }
+}
+
+TEST_CASE("an upload that began before a planned stop is refused as not run") {
+  Fixture fixture;
+  const auto caller = fixture.BeginUpload("/slow/a?work_ms=3000", kSmall);
+  fixture.BeginStop(milliseconds(2'900));
+  fixture.WaitForEnd(*caller);
+  CHECK(caller->LastStatus() == 503);
+  CHECK(fixture.CountRuns("late") == 0);
+  CHECK(fixture.WaitUntil([&] { return caller->closed(); }));
+  CHECK(fixture.WaitUntil([&] { return fixture.stopped; }));
+}
+
+TEST_CASE("a request that fails late in a planned stop is not sent again") {
+  Fixture fixture;
+  fixture.BeginStop(milliseconds(2'700));
+  // The route's time limit ends after the process does.
+  const auto caller = fixture.OpenCaller(
+      GatewayRequest("GET", "/look/a?work_ms=200&head_cut=1", "late"));
+  fixture.WaitForEnd(*caller);
+  CHECK(fixture.loop.Now() - fixture.requested_at < milliseconds(3'500));
+  CHECK(caller->LastStatus() == 502);
+  CHECK(fixture.CountRuns("late") == 1);
+}
+
+TEST_CASE("what a process that stops passes on") {
+  const TimePoint requested = TimePoint(seconds(100));
+  const StopSchedule schedule = {.refuse_from = requested + seconds(3),
+                                 .exit_at = requested + seconds(9)};
+  const TimePoint late = requested + seconds(4);
+  SUBCASE("all that is in time") {
+    const TimePoint now = requested + seconds(2);
+    CHECK_FALSE(schedule.RefusesArrivals(now));
+    CHECK(schedule.MayPassOn(now, requested + seconds(60)));
+  }
+  SUBCASE("no new requests later") {
+    CHECK(schedule.RefusesArrivals(late));
+  }
+  SUBCASE("of those that are late, what ends before the process") {
+    CHECK(schedule.MayPassOn(late, requested + seconds(9)));
+    CHECK_FALSE(schedule.MayPassOn(late, requested + seconds(10)));
+  }
+  SUBCASE("everything while no stop is planned") {
+    CHECK_FALSE(StopSchedule().RefusesArrivals(late));
+    CHECK(StopSchedule().MayPassOn(late, late + seconds(600)));
+  }
+}
+
+// Guards against callers that wait without end, and backend servers that are
+// kept busy, by an upload that stalls.
+TEST_CASE("an upload that stalls") {
+  Fixture fixture;
+  const TimePoint begin = fixture.loop.Now();
+  const auto caller = fixture.BeginUpload("/book/a", kSmall);
+  CHECK(fixture.gateway->gateway().EdgeStats().attempts == 0);
+  REQUIRE(fixture.WaitUntil([&] { return caller->AnswerCount() == 1; }));
+  // The route's time limit.
+  CHECK(fixture.loop.Now() - begin < milliseconds(1'250));
+  CHECK(caller->LastStatus() == 408);
+  CHECK(caller->HasReceived("Connection: close"));
+  CHECK(fixture.CountRuns("late") == 0);
+}
+
+}  // namespace
+}  // namespace comfreystand::platform
