List anew when the answer to a watch is too large (CONFIG)

Cause: the client takes answers of up to 2 MiB, and the store doesn't limit the events of a watch. Too large an answer counted as lost; the same watch was repeated, whose answer only grew.

Ruled out: the size of one configuration, which is read when it is listed.

Change: a body that is too large is told apart from a lost answer, and the watcher lists the items anew, as it does when the history is gone. Stand-ins ignore SIGPIPE, as clients close connections that are written to.

--- a/include/comfreystand/http_client.h
+++ b/include/comfreystand/http_client.h
@@ -24,6 +24,8 @@
   kNotSent,
   // The request was sent, but its answer was lost, truncated or too late.
   kNoAnswer,
+  // The body of the answer is larger than is accepted.
+  kTooLarge,
 };
 
 struct Request {
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -132,6 +132,7 @@
     evhttp_request* native_request =
         evhttp_request_new(&Impl::OnDone, call.get());
     evhttp_request_set_error_cb(native_request, &Impl::OnError);
+    evhttp_request_set_header_cb(native_request, &Impl::OnHead);
     FillHeaders(request, native_request);
     const auto command = kCommands[static_cast<size_t>(request.method)];
     if (evhttp_make_request(call->connection, native_request, command,
@@ -171,6 +172,7 @@
     ResponseCallback done;
     // Outcome that is reported when no answer arrives.
     Outcome failure = Outcome::kNotSent;
+    bool head_complete = false;
     // Ends a call whose answer keeps arriving.
     EventPtr overdue_event;
   };
@@ -261,8 +263,16 @@
   }
 
   // libevent calls this only for failures after the connection was established.
-  static void OnError(evhttp_request_error, void* arg) {
-    static_cast<PendingCall*>(arg)->failure = Outcome::kNoAnswer;
+  static void OnError(evhttp_request_error error, void* arg) {
+    auto* call = static_cast<PendingCall*>(arg);
+    const bool body_too_large =
+        error == EVREQ_HTTP_DATA_TOO_LONG && call->head_complete;
+    call->failure = body_too_large ? Outcome::kTooLarge : Outcome::kNoAnswer;
+  }
+
+  static int OnHead(evhttp_request*, void* arg) {
+    static_cast<PendingCall*>(arg)->head_complete = true;
+    return 0;
   }
 
   static void OnDone(evhttp_request* native_request, void* arg) {
--- a/standins/http_server.cc
+++ b/standins/http_server.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include <charconv>
+#include <csignal>
 #include <utility>
 
 #include "src/edge/http_connection.h"
@@ -147,7 +148,10 @@
           [](evutil_socket_t, short, void* self) {
             static_cast<HttpServer*>(self)->DeleteClosedConnections();
           },
-          this)) {}
+          this)) {
+  // Clients may close connections that are being written to.
+  std::signal(SIGPIPE, SIG_IGN);
+}
 
 HttpServer::~HttpServer() {
   listener_.reset();
--- a/tests/platform_watcher_test.cc
+++ b/tests/platform_watcher_test.cc
@@ -137,6 +137,22 @@
     CHECK(fixture.RunUntil([&] { return !fixture.values.contains("p/2"); }));
     CHECK(fixture.values.size() == 4);
   }
+  // Guards against a watch that is repeated without end (CONFIG).
+  SUBCASE("lists again when the changes are too large for one answer") {
+    fixture.server.SetPageSize(1);
+    fixture.server.SetFaults({.outage = Outage::kReset});
+    for (const char* key : {"p/1", "p/2", "p/3"}) {
+      fixture.server.Put(key, std::string(900'000, 'x'));
+    }
+    fixture.server.Remove("p/4");
+    fixture.server.SetFaults({});
+    const TimePoint begin = fixture.loop.Now();
+    CHECK(fixture.RunUntil([&] { return !fixture.values.contains("p/4"); }));
+    CHECK(fixture.values["p/3"].size() == 900'000);
+    CHECK(fixture.loop.Now() - begin < std::chrono::seconds(2));
+    fixture.server.Put("p/1", "small");
+    CHECK(fixture.RunUntil([&] { return fixture.values["p/1"] == "small"; }));
+  }
   SUBCASE("reports when the store stops answering and when it answers again") {
     struct Case {
       const char* name;
