--- a/standins/store.cc
+++ b/standins/store.cc
@@ -200,6 +200,10 @@
   if (!has_events && !allow_empty) {
     return false;
   }
+  if (has_events && faults_.lost_watch_responses > 0) {
+    --faults_.lost_watch_responses;
+    return true;
+  }
   Send(watch.exchange, kOk,
        "{\"events\":[" + events + "],\"asOf\":" + std::to_string(revision_) +
            "}");
--- a/standins/store.h
+++ b/standins/store.h
@@ -33,6 +33,8 @@
   Outage outage = Outage::kNone;
   // Delay before each response.
   Duration delay{0};
+  // Number of next responses to watches, with changes, that are lost.
+  int lost_watch_responses = 0;
   // Number of next writes that take effect without a response.
   int lost_responses = 0;
   // Delay before such a write takes effect. When zero, it takes effect without
--- a/tests/gateway_path_test.cc
+++ b/tests/gateway_path_test.cc
@@ -358,6 +358,18 @@
       CHECK(fixture.SendAndWait(GatewayRequest("GET", "/more/x", "r"))
                 ->LastStatus() == 200);
     }
+    // Guards against a configuration that is used long after it was replaced,
+    // since the store's answer was lost (CONFIG).
+    SUBCASE("also when the store's answer about it was lost") {
+      fixture.store.SetFaults({.lost_watch_responses = 1});
+      fixture.store.Put("op/config", GatewayConfig(6));
+      standins::RunUntil(&fixture.loop, std::chrono::seconds(3),
+                         [] { return false; });
+      fixture.store.Put("op/config", GatewayConfig(7));
+      standins::RunUntil(&fixture.loop, std::chrono::seconds(2),
+                         [&] { return version() == 7; });
+      CHECK(version() == 7);
+    }
     SUBCASE("and stays in force when the next one can't be parsed") {
       fixture.store.Put("op/config", GatewayConfig(6).substr(0, 200));
       fixture.store.Put("op/config", R"({"version":"r7"})");
