Close no idle connection over a request that waits in its socket (LOST)

Cause: connections without a request in progress are closed at that time, also when a process that is behind has not read yet what has arrived.

Change: it looks into the socket first; such a request is read and refused. The same for connections that were idle for too long.

Evidence: planned_stop_test, a request that waits in a socket: by a stop, failed without the change. Its part on idle connections passed without it too: with few sockets, reads come before timers.

--- a/src/edge/caller_connection.cc
+++ b/src/edge/caller_connection.cc
@@ -96,6 +96,10 @@
   if (state_ == State::kOpen && IsReadingBody()) {
     delegate_->OnCallerTimeout();
   }
+  if (state_ == State::kOpen && idle() && HasUnreadInput()) {
+    SetTimer();
+    return;
+  }
   Close();
 }
 
@@ -201,7 +205,7 @@
   if (state_ != State::kOpen) {
     return;
   }
-  if (close_when_idle_ && idle()) {
+  if (close_when_idle_ && idle() && !HasUnreadInput()) {
     Linger();
     return;
   }
@@ -331,9 +335,16 @@
 
 void CallerConnection::CloseWhenIdle() {
   close_when_idle_ = true;
-  if (state_ == State::kOpen && idle()) {
+  if (state_ == State::kOpen && idle() && !HasUnreadInput()) {
     Linger();
   }
 }
 
+// A process that is behind finds requests in its sockets.
+bool CallerConnection::HasUnreadInput() const {
+  char byte = 0;
+  return evbuffer_get_length(bufferevent_get_input(bev_)) > 0 ||
+         recv(bufferevent_getfd(bev_), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 }  // namespace comfreystand::edge
--- a/src/edge/caller_connection.h
+++ b/src/edge/caller_connection.h
@@ -162,6 +162,9 @@
   void CompleteReply(Reply* reply);
   void ReleaseReplies();
   void Linger();
+  // Whether bytes of the caller wait to be read, in this process or in the
+  // socket.
+  bool HasUnreadInput() const;
   void Close();
   void SetTimer();
   void OnTimer();
--- a/tests/planned_stop_test.cc
+++ b/tests/planned_stop_test.cc
@@ -1,10 +1,16 @@
 #include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include "comfreystand/limits.h"
+#include "src/edge/http_connection.h"
+#include "tests/support/edge_fixture.h"
 #include "tests/support/gateway_fixture.h"
 
 // Requests whose bodies arrive while a gateway stops.
@@ -20,6 +26,56 @@
 
 constexpr seconds kGrace{6};
 
+constexpr milliseconds kIdleTimeout{200};
+
+edge::ServerInit ShortIdleTimeout() {
+  edge::ServerInit init = testing::InitWithoutLoadPolling();
+  init.idle_timeout = kIdleTimeout;
+  return init;
+}
+
+struct EdgeFixture : testing::EdgeFixture {
+  EdgeFixture() : testing::EdgeFixture(1, ShortIdleTimeout()) {}
+};
+
+// A caller whose bytes are in the server's socket before the loop runs.
+class SocketCaller {
+ public:
+  explicit SocketCaller(uint16_t port) : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address = {};
+    edge::ParseAddress("127.0.0.1:" + std::to_string(port), &address);
+    REQUIRE(connect(fd_, reinterpret_cast<const sockaddr*>(&address),
+                    sizeof(address)) == 0);
+  }
+  ~SocketCaller() { close(fd_); }
+  SocketCaller(const SocketCaller&) = delete;
+  SocketCaller& operator=(const SocketCaller&) = delete;
+
+  void Send(const std::string& bytes) {
+    REQUIRE(send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(bytes.size()));
+  }
+  // Number of status lines received so far.
+  int AnswerCount() {
+    char buffer[4'096];
+    ssize_t size = 0;
+    while ((size = recv(fd_, buffer, sizeof(buffer), MSG_DONTWAIT)) > 0) {
+      received_.append(buffer, static_cast<size_t>(size));
+    }
+    int count = 0;
+    for (size_t at = received_.find("HTTP/1.1 "); at != std::string::npos;
+         at = received_.find("HTTP/1.1 ", at + 1)) {
+      ++count;
+    }
+    return count;
+  }
+  const std::string& received() const { return received_; }
+
+ private:
+  const int fd_;
+  std::string received_;
+};
+
 // A gateway that stops; it ends when its grace is over.
 struct Fixture : GatewayFixture {
   Fixture() : GatewayFixture(1) {
@@ -158,6 +214,27 @@
   }
 }
 
+// Guards against connections that are closed over a request that a process
+// which is behind has not read yet (LOST).
+TEST_CASE(
+    "a request that waits in a socket when its connection is to be closed") {
+  EdgeFixture fixture;
+  SocketCaller caller(fixture.server->GetCaps().port);
+  caller.Send(testing::Request("GET", "/a"));
+  REQUIRE(fixture.RunUntil([&] { return caller.AnswerCount() == 1; }));
+  SUBCASE("by a stop is refused") {
+    caller.Send(testing::Request("GET", "/b"));
+    fixture.server->SetDrainState(edge::DrainState::kRefusing);
+    REQUIRE(fixture.RunUntil([&] { return caller.AnswerCount() == 2; }));
+    CHECK(caller.received().find("503") != std::string::npos);
+  }
+  SUBCASE("since it was idle is answered") {
+    std::this_thread::sleep_for(2 * kIdleTimeout);
+    caller.Send(testing::Request("GET", "/b"));
+    REQUIRE(fixture.RunUntil([&] { return caller.AnswerCount() == 2; }));
+  }
+}
+
 // Guards against callers that wait without end, and backend servers that are
 // kept busy, by an upload that stalls.
 TEST_CASE("an upload that stalls") {
