Read an answer that comes behind a large one written once more

Seen by callers: 502 for a request whose answer was there, behind an earlier answer of 1 MB that the backend server had written once more.

Cause: the bytes of skipped answers counted for the limit on the head that follows them, 64 KiB.

Change: heads and skipped answers have a limit each, 64 KiB and 8 MiB.

Evidence: faulty_answers_test, an answer behind a large one: 502 without the change, 200 with it.

--- a/src/edge/http_connection.cc
+++ b/src/edge/http_connection.cc
@@ -107,7 +107,7 @@
   head_request_ = head_request;
   request_ended_ = false;
   wrote_since_timeout_ = false;
-  bytes_before_body_ = 0;
+  skipped_bytes_ = 0;
   ResetAnswer();
   if (state_ == State::kOpen) {
     SetProgressTimeout(true);
@@ -147,6 +147,7 @@
   head_ = AnswerHead();
   answer_begun_ = false;
   head_done_ = false;
+  head_bytes_ = 0;
   keep_alive_ = true;
   bad_framing_ = false;
   skipping_answer_ = false;
@@ -242,15 +243,13 @@
   parsing_ = true;
   const size_t parsed = ParsePiece(parser_.get(), ParserHooks(), piece);
   parsing_ = false;
-  bytes_before_body_ += parsed;
+  head_bytes_ += parsed;
   if (close_after_parsing_) {
     Fail(ExchangeFailure::kClosed);
     return false;
   }
-  const size_t max_bytes = skipping_answer_ ? limits::kMaxSkippedAnswerBytes
-                                            : limits::kMaxAnswerHeadBytes;
   const bool malformed = !head_done_ && parsed < piece.size();
-  if (malformed || bad_framing_ || bytes_before_body_ > max_bytes) {
+  if (malformed || bad_framing_ || head_bytes_ > limits::kMaxAnswerHeadBytes) {
     Fail(ExchangeFailure::kBroken);
     return false;
   }
@@ -273,9 +272,8 @@
     return false;
   }
   if (skipping_answer_) {
-    bytes_before_body_ += piece.size;
-    if (bytes_before_body_ > limits::kMaxSkippedAnswerBytes) {
-      Fail(ExchangeFailure::kBroken);
+    skipped_bytes_ += piece.size;
+    if (!MaySkipMore()) {
       return false;
     }
   } else if (!piece.content.empty()) {
@@ -291,10 +289,20 @@
   return body_.complete() ? OnAnswerEnd(input) : true;
 }
 
+// Gives the connection up when too much of earlier answers has been skipped.
+bool HttpConnection::MaySkipMore() {
+  const bool skippable = skipped_bytes_ <= limits::kMaxSkippedAnswerBytes;
+  if (!skippable) {
+    Fail(ExchangeFailure::kBroken);
+  }
+  return skippable;
+}
+
 bool HttpConnection::OnAnswerEnd(evbuffer* input) {
   if (skipping_answer_) {
+    skipped_bytes_ += head_bytes_;
     ResetAnswer();
-    return true;
+    return MaySkipMore();
   }
   keep_alive_ = keep_alive_ && evbuffer_get_length(input) == 0;
   FinishExchange();
--- a/src/edge/http_connection.h
+++ b/src/edge/http_connection.h
@@ -130,6 +130,7 @@
   // input may be read.
   bool ReadHead(evbuffer* input);
   bool ReadBody(evbuffer* input);
+  bool MaySkipMore();
   // The last byte of an answer has been removed from `input`.
   bool OnAnswerEnd(evbuffer* input);
   void ReadKeepAliveTimeout();
@@ -167,8 +168,9 @@
   bool bad_framing_ = false;
   // The answer being read belongs to an earlier request.
   bool skipping_answer_ = false;
-  // Bytes of heads and of skipped answers since the start of the exchange.
-  size_t bytes_before_body_ = 0;
+  size_t head_bytes_ = 0;
+  // Of answers to earlier requests, since the start of the exchange.
+  size_t skipped_bytes_ = 0;
   Duration keep_alive_timeout_{0};
   AnswerHead head_;
 };
--- a/tests/faulty_answers_test.cc
+++ b/tests/faulty_answers_test.cc
@@ -102,6 +102,26 @@
   }
 }
 
+// Guards against a request that fails since an answer before its own was large.
+TEST_CASE("an answer behind a large one that is written once more") {
+  const std::string large =
+      Answer(
+          200, "r0",
+          "Comfreystand-Server-Stamp: s\r\nContent-Length: 1000000\r\n\r\n") +
+      std::string(1'000'000, 'x');
+  GatewayFixture fixture(0);
+  ScriptedServer server(
+      fixture.loop.base(), [&](size_t, const std::string& head) {
+        return IsHealthCheck(head) ? HealthyAnswer() : large + Success("r");
+      });
+  fixture.RegisterAt("i-0", server.address());
+  REQUIRE(fixture.WaitUntilBackendsReady(1));
+  const auto caller =
+      fixture.SendAndWait(GatewayRequest("POST", "/book/a", "r", "", "b"));
+  CHECK(caller->LastStatus() == 200);
+  CHECK_FALSE(caller->HasReceived("xxx"));
+}
+
 TEST_CASE("an answer with a malformed chunk is never delivered as complete") {
   const std::string head = Answer(200, "r",
                                   "Comfreystand-Server-Stamp: s\r\n"
