--- a/src/edge/server_listen.cc
+++ b/src/edge/server_listen.cc
@@ -255,7 +255,9 @@
 
 bool Server::Impl::PassesOn(Relay* relay) {
   const TimePoint now = clock_->Now();
-  if (stop_schedule_.MayPassOn(now, relay->request().traits.deadline)) {
+  // An answer that has begun is not given up.
+  if (relay->state() != Relay::State::kPending ||
+      stop_schedule_.MayPassOn(now, relay->request().traits.deadline)) {
     return true;
   }
   const Refusal refusal = StopRefusal(relay->VerdictSoFar());
--- a/tests/planned_stop_test.cc
+++ b/tests/planned_stop_test.cc
@@ -159,6 +159,19 @@
     CHECK(caller->LastStatus() == 200);
     CHECK(fixture.CountRuns("late") == 1);
   }
+  SUBCASE("is passed on when its answer has begun") {
+    const auto caller =
+        fixture.BeginUpload("/slow/a?early=1&bytes=30000000", kLarge);
+    caller->SetReading(false);
+    fixture.WaitUntilSince(milliseconds(3'100));
+    caller->Send("y");
+    standins::RunUntil(&fixture.loop, milliseconds(100), [] { return false; });
+    caller->SetReading(true);
+    CHECK(fixture.WaitUntil([&] {
+      return caller->closed() || caller->received().size() > 30'000'000;
+    }));
+    CHECK(caller->received().size() > 30'000'000);
+  }
   SUBCASE("is served when it ends before requests are refused") {
     const auto caller = fixture.BeginUpload("/slow/a?work_ms=100", kSmall);
     fixture.WaitUntilSince(milliseconds(2'600));
