--- a/include/comfreystand/edge.h
+++ b/include/comfreystand/edge.h
@@ -160,7 +160,7 @@
   // Requests with bodies up to this size are submitted once they have arrived
   // whole, so that an upload that is slow or stalls needs no backend server;
   // zero submits all at once.
-  size_t max_held_body_bytes = 0;
+  size_t max_buffered_request_bytes = 0;
   // Request bodies up to this size are buffered for further attempts.
   size_t max_replay_body_bytes = limits::kMaxReplayBodyBytes;
   int max_backend_connections = limits::kMaxBackendConnections;
--- a/include/comfreystand/limits.h
+++ b/include/comfreystand/limits.h
@@ -56,7 +56,7 @@
 constexpr size_t kMaxRefusalBodyBytes = size_t{64} << 10;
 constexpr size_t kMaxReplayBodyBytes = size_t{256} << 10;
 // Request bodies up to this size arrive whole before they are sent on.
-constexpr size_t kMaxHeldBodyBytes = size_t{64} << 10;
+constexpr size_t kMaxBufferedRequestBytes = size_t{64} << 10;
 // Bytes buffered for a slow receiver before reading from the sender is paused.
 constexpr size_t kRelayBufferBytes = size_t{256} << 10;
 constexpr int kMaxBackendConnections = 2'000;
--- a/src/edge/relay.cc
+++ b/src/edge/relay.cc
@@ -36,26 +36,26 @@
       protocol_(protocol),
       delegate_(delegate) {}
 
-void Relay::Hold(event_base* base, Duration timeout) {
-  hold_timer_.reset(event_new(
+void Relay::BufferBody(event_base* base, Duration timeout) {
+  buffering_timer_.reset(event_new(
       base, -1, 0,
       [](evutil_socket_t, short, void* self) {
-        static_cast<Relay*>(self)->OnHoldTimeout();
+        static_cast<Relay*>(self)->OnBufferingTimeout();
       },
       this));
   const timeval wait = ToTimeval(timeout);
-  event_add(hold_timer_.get(), &wait);
+  event_add(buffering_timer_.get(), &wait);
 }
 
-void Relay::OnHoldTimeout() {
+void Relay::OnBufferingTimeout() {
   delegate_->CountFault(Fault::kCallerTimeout);
   Refuse(
       {.status = kRequestTimeout, .error = "request_timeout", .close = true});
 }
 
-void Relay::Release() {
-  hold_timer_.reset();
-  delegate_->OnHeldRequestReady(this);
+void Relay::EndBuffering() {
+  buffering_timer_.reset();
+  delegate_->OnRequestBuffered(this);
 }
 
 RunVerdict Relay::VerdictSoFar() const {
@@ -97,7 +97,7 @@
   connection_->Write(
       reply_, protocol_->FormatRefusal(refusal, &request_,
                                        connection_->MayKeepAlive(reply_)));
-  hold_timer_.reset();
+  buffering_timer_.reset();
   state_ = State::kFinished;
   status_ = refusal.status;
   reason_ = refusal.error;
@@ -138,8 +138,9 @@
     body_discarded_ = true;
     evbuffer_drain(body_.get(), buffered_bytes_before);
   }
-  if (held() && evbuffer_get_length(body_.get()) > init_.max_held_body_bytes) {
-    Release();
+  if (buffering() &&
+      evbuffer_get_length(body_.get()) > init_.max_buffered_request_bytes) {
+    EndBuffering();
   }
   PauseCallerIfBufferFull();
 }
@@ -182,8 +183,8 @@
     Refuse(refusal_);
     return;
   }
-  if (held()) {
-    Release();
+  if (buffering()) {
+    EndBuffering();
     return;
   }
   const bool has_end_to_send = !attempts_.empty() && !IsLastPart();
@@ -201,7 +202,7 @@
     state_ = State::kFinished;
     Attempt* delivering = std::exchange(delivering_attempt_, nullptr);
     delegate_->OnRelayAborted(this);
-    hold_timer_.reset();
+    buffering_timer_.reset();
     if (delivering) {
       delivering->Cancel();
     }
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -17,8 +17,9 @@
 class RelayDelegate {
  public:
   virtual ~RelayDelegate() = default;
-  // A held request has arrived whole, or as much of it as may be held.
-  virtual void OnHeldRequestReady(Relay* relay) = 0;
+  // A request that was buffered has arrived whole, or as much of it as may be
+  // buffered.
+  virtual void OnRequestBuffered(Relay* relay) = 0;
   // Whether the rest of the request may be passed on to backend servers. If
   // not, the request has been refused.
   virtual bool PassesOn(Relay* relay) = 0;
@@ -63,8 +64,8 @@
 
   // Waits for the body of the request before it is submitted, at most until
   // `timeout` has passed.
-  void Hold(event_base* base, Duration timeout);
-  bool held() const { return hold_timer_ != nullptr; }
+  void BufferBody(event_base* base, Duration timeout);
+  bool buffering() const { return buffering_timer_ != nullptr; }
 
   // Closes the caller's connection after the answer.
   void CloseAfterAnswer();
@@ -131,9 +132,9 @@
   void OnTruncated() override;
 
  private:
-  void OnHoldTimeout();
-  // Ends the hold of a request.
-  void Release();
+  void OnBufferingTimeout();
+  // The request may be submitted.
+  void EndBuffering();
   // Whether the part of the body that has just arrived is its last.
   bool IsLastPart() const;
   void SendBufferedBody(Attempt* attempt);
@@ -155,8 +156,8 @@
   // Request body buffered for further attempts.
   BufferPtr body_ = NewBuffer();
   bool body_complete_ = false;
-  // Set while the request is held.
-  EventPtr hold_timer_;
+  // Set while the body is buffered before the request is submitted.
+  EventPtr buffering_timer_;
   // Part of the body is no longer buffered, so no further attempt can be
   // started.
   bool body_discarded_ = false;
--- a/src/edge/server_actions.cc
+++ b/src/edge/server_actions.cc
@@ -376,7 +376,7 @@
 }
 
 void Server::Impl::OnRelayAborted(Relay* relay) {
-  if (relay->held()) {
+  if (relay->buffering()) {
     RecordFinishedRequest(relay, RequestEnd::kCallerDisconnected);
   } else if (relays_by_handle_.erase(relay->handle()) > 0) {
     RecordFinishedRequest(relay, RequestEnd::kCallerDisconnected);
--- a/src/edge/server_impl.h
+++ b/src/edge/server_impl.h
@@ -58,7 +58,7 @@
   Stats GetStats() const;
 
   // RelayDelegate:
-  void OnHeldRequestReady(Relay* relay) override;
+  void OnRequestBuffered(Relay* relay) override;
   bool PassesOn(Relay* relay) override;
   void OnRelayFinished(Relay* relay,
                        RunVerdict verdict,
@@ -102,9 +102,9 @@
                         std::string_view text);
   void StartRelay(CallerConnection* connection, Reply* reply);
   void Submit(Relay* relay);
-  void RefuseHeldRequests();
+  void RefuseBufferedRequests();
   // Whether a request waits for its body before it is submitted.
-  bool IsToBeHeld(const RelayRequest& request) const;
+  bool IsToBeBuffered(const RelayRequest& request) const;
   bool RefusesArrivals() const;
   Refusal StopRefusal(RunVerdict verdict) const;
   // Returns false and sets `refusal` when the server refuses new requests, the
--- a/src/edge/server_listen.cc
+++ b/src/edge/server_listen.cc
@@ -147,19 +147,19 @@
     }
   }
   if (state == DrainState::kRefusing) {
-    RefuseHeldRequests();
+    RefuseBufferedRequests();
   }
 }
 
 // Their bodies have not arrived, so that none of them has been passed on.
-void Server::Impl::RefuseHeldRequests() {
-  std::vector<Relay*> held;
+void Server::Impl::RefuseBufferedRequests() {
+  std::vector<Relay*> buffering;
   for (const auto& [relay, owned] : relays_) {
-    if (relay->held()) {
-      held.push_back(relay);
+    if (relay->buffering()) {
+      buffering.push_back(relay);
     }
   }
-  for (Relay* relay : held) {
+  for (Relay* relay : buffering) {
     relay->Refuse(StopRefusal(RunVerdict::kNotRun));
   }
 }
@@ -224,8 +224,8 @@
     return;
   }
   const Duration time_left = relay->request().traits.deadline - now;
-  if (IsToBeHeld(relay->request()) && time_left > Duration::zero()) {
-    relay->Hold(base_, time_left);
+  if (IsToBeBuffered(relay->request()) && time_left > Duration::zero()) {
+    relay->BufferBody(base_, time_left);
     return;
   }
   Submit(relay);
@@ -238,14 +238,15 @@
   ScheduleActions();
 }
 
-// Bodies of unknown length are held too, until they turn out to be too large.
-bool Server::Impl::IsToBeHeld(const RelayRequest& request) const {
-  return request.content_length != 0 && init_.max_held_body_bytes > 0 &&
+// Bodies of unknown length are buffered too, until they turn out to be too
+// large.
+bool Server::Impl::IsToBeBuffered(const RelayRequest& request) const {
+  return request.content_length != 0 && init_.max_buffered_request_bytes > 0 &&
          request.content_length <=
-             static_cast<int64_t>(init_.max_held_body_bytes);
+             static_cast<int64_t>(init_.max_buffered_request_bytes);
 }
 
-void Server::Impl::OnHeldRequestReady(Relay* relay) {
+void Server::Impl::OnRequestBuffered(Relay* relay) {
   if (RefusesArrivals()) {
     relay->Refuse(StopRefusal(RunVerdict::kNotRun));
     return;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -67,7 +67,7 @@
     init.connect_timeout = kConnectTimeout;
     init.unacknowledged_timeout = kUnacknowledgedTimeout;
     init.max_answer_body_bytes = limits::kMaxAnswerBodyBytes;
-    init.max_held_body_bytes = limits::kMaxHeldBodyBytes;
+    init.max_buffered_request_bytes = limits::kMaxBufferedRequestBytes;
     const int max_sockets =
         std::max(64, settings_.max_descriptors - kReservedDescriptors);
     init.max_backend_connections =
--- a/tests/planned_stop_test.cc
+++ b/tests/planned_stop_test.cc
@@ -127,7 +127,7 @@
 };
 
 constexpr size_t kSmall = 200;
-constexpr size_t kLarge = 3 * limits::kMaxHeldBodyBytes;
+constexpr size_t kLarge = 3 * limits::kMaxBufferedRequestBytes;
 
 // Guards against requests that are passed on late in a stop and cut off without
 // an answer at its end (LOST).
