--- a/tests/planned_stop_test.cc
+++ b/tests/planned_stop_test.cc
@@ -111,6 +111,17 @@
     return caller;
   }
 
+  // An upload whose last byte is sent when the stop was requested `end` ago.
+  std::unique_ptr<RawCaller> Upload(const std::string& target,
+                                    size_t size,
+                                    Duration end) {
+    auto caller = BeginUpload(target, size);
+    WaitUntilSince(end);
+    caller->Send("y");
+    WaitForEnd(*caller);
+    return caller;
+  }
+
   // Runs until the caller is answered or the gateway has ended.
   void WaitForEnd(const RawCaller& caller) {
     WaitUntil([&] {
@@ -135,27 +146,21 @@
   Fixture fixture;
   fixture.BeginStop(milliseconds(2'400));
   SUBCASE("is refused as not run when it is small") {
-    const auto caller = fixture.BeginUpload("/slow/a?work_ms=3000", kSmall);
-    fixture.WaitUntilSince(milliseconds(3'100));
-    caller->Send("y");
-    fixture.WaitForEnd(*caller);
+    const auto caller =
+        fixture.Upload("/slow/a?work_ms=3000", kSmall, milliseconds(3'100));
     CHECK(caller->LastStatus() == 503);
     CHECK(caller->HasReceived("Connection: close"));
     CHECK(fixture.CountRuns("late") == 0);
   }
   SUBCASE("is broken off before its end is passed on when it is large") {
-    const auto caller = fixture.BeginUpload("/slow/a?work_ms=3000", kLarge);
-    fixture.WaitUntilSince(milliseconds(3'100));
-    caller->Send("y");
-    fixture.WaitForEnd(*caller);
+    const auto caller =
+        fixture.Upload("/slow/a?work_ms=3000", kLarge, milliseconds(3'100));
     CHECK(caller->LastStatus() == 502);
     CHECK(fixture.CountRuns("late") == 0);
   }
   SUBCASE("is served when it is large and ends within the grace") {
-    const auto caller = fixture.BeginUpload("/book/a?work_ms=100", kLarge);
-    fixture.WaitUntilSince(milliseconds(2'900));
-    caller->Send("y");
-    fixture.WaitForEnd(*caller);
+    const auto caller =
+        fixture.Upload("/book/a?work_ms=100", kLarge, milliseconds(2'900));
     CHECK(caller->LastStatus() == 200);
     CHECK(fixture.CountRuns("late") == 1);
   }
@@ -173,10 +178,8 @@
     CHECK(caller->received().size() > 30'000'000);
   }
   SUBCASE("is served when it ends before requests are refused") {
-    const auto caller = fixture.BeginUpload("/slow/a?work_ms=100", kSmall);
-    fixture.WaitUntilSince(milliseconds(2'600));
-    caller->Send("y");
-    fixture.WaitForEnd(*caller);
+    const auto caller =
+        fixture.Upload("/slow/a?work_ms=100", kSmall, milliseconds(2'600));
     CHECK(caller->LastStatus() == 200);
   }
 }
