--- a/review/harness-2/harness.h
+++ b/review/harness-2/harness.h
@@ -667,6 +667,12 @@
     return runs_[request_id];
   }
 
+  // Requests whose heads have arrived, by their id.
+  int Arrivals(const std::string& request_id) {
+    const std::lock_guard lock(mutex_);
+    return arrivals_[request_id];
+  }
+
   // Entry of the store.
   json Entry(const std::string& service, int capacity) const {
     return {{"service", service},       {"address", Address(port())},
@@ -689,10 +695,18 @@
         request = {};
         continue;
       }
+      const std::string request_id = request.Header("comfreystand-request-id");
+      {
+        const std::lock_guard lock(mutex_);
+        ++arrivals_[request_id];
+      }
       if (!reader.ReadBody(&request, 60'000)) {
+        record_->Line(
+            "instance %s gets %zu bytes of %s, then its connection "
+            "ends",
+            id_.c_str(), request.body.size(), request_id.c_str());
         return;
       }
-      const std::string request_id = request.Header("comfreystand-request-id");
       const std::string expected =
           request.Header("comfreystand-expect-instance");
       if (!expected.empty() && expected != id_) {
@@ -720,6 +734,7 @@
   Record* const record_;
   const Run run_;
   std::mutex mutex_;
+  std::map<std::string, int> arrivals_;
   std::map<std::string, int> runs_;
   Listener listener_;
 };
