--- a/include/comfreystand/relay_protocol.h
+++ b/include/comfreystand/relay_protocol.h
@@ -83,6 +83,8 @@
   kAnswerTooLarge,
   // An answer that had begun was not complete soon after the deadline.
   kAnswerOverdue,
+  // A backend server sent bytes that are no HTTP/1.1 answer.
+  kAnswerMalformed,
   // A request without a key where one is required, with a key that no
   // organisation holds, or with one that was revoked while it waited.
   kKeyMissing,
--- a/src/edge/attempt.cc
+++ b/src/edge/attempt.cc
@@ -247,6 +247,8 @@
 void Attempt::OnExchangeFailed(ExchangeFailure failure, bool written) {
   if (failure == ExchangeFailure::kProgressTimeout) {
     delegate_->OnUnresponsive(connection_);
+  } else if (failure == ExchangeFailure::kMalformed) {
+    delegate_->CountFault(Fault::kAnswerMalformed);
   }
   connection_ = nullptr;
   truncated_ = true;
--- a/src/edge/caller_connection.cc
+++ b/src/edge/caller_connection.cc
@@ -5,7 +5,6 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <cstdlib>
 #include <utility>
 
 #include "comfreystand/limits.h"
@@ -19,8 +18,7 @@
 // Maximum number of unanswered requests of one connection.
 constexpr size_t kMaxPipelinedRequests = 32;
 constexpr std::chrono::seconds kLingerTimeout{1};
-// Estimated memory of a connection without a request; libevhtp's parser alone
-// has a buffer of 8 KiB.
+// Memory of a connection without a request, estimated on the safe side.
 constexpr size_t kConnectionBytes = 10'240;
 
 }  // namespace
@@ -48,10 +46,7 @@
           [](evutil_socket_t, short, void* self) {
             static_cast<CallerConnection*>(self)->OnTimer();
           },
-          this)),
-      parser_(htparser_new(), &std::free) {
-  htparser_init(parser_.get(), htp_type_request);
-  htparser_set_userdata(parser_.get(), this);
+          this)) {
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   bufferevent_setcb(
@@ -73,7 +68,9 @@
       bufferevent_get_output(bev_), account_,
       [this](size_t sent) { progress_.Add(SystemClock().Now(), sent); });
   bufferevent_set_max_single_read(bev_, kMaxReadBytes);
-  bufferevent_setwatermark(bev_, EV_READ, 0, kMaxReadBytes);
+  // A line of a head is taken once it is whole.
+  bufferevent_setwatermark(bev_, EV_READ, 0,
+                           kMaxReadBytes + limits_.header_bytes);
   const timeval write = ToTimeval(limits_.progress_timeout);
   bufferevent_set_timeouts(bev_, nullptr, &write);
   bufferevent_enable(bev_, EV_READ | EV_WRITE);
@@ -142,9 +139,6 @@
     if (reading_paused_ || (!IsReadingBody() && !CanReadRequest())) {
       return;
     }
-    if (IsRequestLineIncomplete(input)) {
-      return;
-    }
     const bool can_continue =
         IsReadingBody() ? ReadBody(input) : ReadHead(input);
     if (std::exchange(send_pending_, false)) {
--- a/src/edge/caller_connection.h
+++ b/src/edge/caller_connection.h
@@ -1,8 +1,6 @@
 #ifndef COMFREYSTAND_SRC_EDGE_CALLER_CONNECTION_H_
 #define COMFREYSTAND_SRC_EDGE_CALLER_CONNECTION_H_
 
-#include <evhtp/parser.h>
-
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -13,6 +11,7 @@
 #include "comfreystand/relay_protocol.h"
 #include "src/edge/body_reader.h"
 #include "src/edge/buffer_budget.h"
+#include "src/edge/message_lines.h"
 #include "src/loop/event_handles.h"
 
 namespace comfreystand::edge {
@@ -97,9 +96,8 @@
   Duration progress_timeout{0};
 };
 
-// One HTTP/1.1 connection of a caller over libevent; requests are parsed with
-// libevhtp's parser. Pipelined requests are passed to the delegate as they
-// arrive, before earlier ones are answered.
+// One HTTP/1.1 connection of a caller over libevent. Pipelined requests are
+// passed to the delegate as they arrive, before earlier ones are answered.
 class CallerConnection {
  public:
   // Takes ownership of `fd`. `address` is the caller's IPv4 address in network
@@ -173,17 +171,21 @@
     kClosed,
   };
 
-  static const htparse_hooks& ParserHooks();
   void OnReadable();
   void ReadInput();
   void FreeSocket();
-  bool IsRequestLineIncomplete(evbuffer* input);
-  // Read the first contiguous piece of `input`. Return false when no further
-  // input may be read.
+  static void SkipEmptyLines(evbuffer* input);
+  // Read the next line of a head, or the first contiguous piece of a body.
+  // Return false when no further input can be read.
   bool ReadHead(evbuffer* input);
   bool ReadBody(evbuffer* input);
+  void OnPartOfRequestLine();
   void OnHeadBegin();
-  void OnHeadComplete();
+  // Return false when the request is malformed.
+  bool OnHeadLine(const std::string& line);
+  bool OnRequestLine(std::string_view line);
+  bool OnFieldLine(std::string_view line);
+  bool OnHeadComplete();
   void OnBody(std::string_view content);
   void OnMessageComplete();
   void OnParseError(bool too_large);
@@ -214,7 +216,7 @@
   std::unique_ptr<BufferMeter> input_meter_;
   std::unique_ptr<BufferMeter> output_meter_;
   EventPtr timer_;
-  std::unique_ptr<htparser, void (*)(void*)> parser_;
+  LineReader lines_;
   State state_ = State::kOpen;
   std::deque<std::unique_ptr<Reply>> replies_;
   // The request whose head is being read.
@@ -226,13 +228,12 @@
   // Part of a request line has arrived.
   bool request_line_begun_ = false;
   bool head_begun_ = false;
-  bool headers_too_large_ = false;
-  bool bad_framing_ = false;
-  // The parser is running; the connection must not be closed until it returns.
+  // A part of a request is being passed on; the connection must not be closed
+  // until that returns.
   bool parsing_ = false;
-  // Abort() was called while the parser was running.
+  // Abort() was called while `parsing_` was set.
   bool abort_pending_ = false;
-  // Finish() was called while the parser was running.
+  // Finish() was called while `parsing_` was set.
   bool send_pending_ = false;
   bool reading_paused_ = false;
   bool close_after_answers_ = false;
--- a/src/edge/http_connection.cc
+++ b/src/edge/http_connection.cc
@@ -7,12 +7,11 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <cstdlib>
 #include <utility>
 
 #include "comfreystand/limits.h"
 #include "src/edge/compact_buffer.h"
-#include "src/edge/parse_piece.h"
+#include "src/edge/first_piece.h"
 #include "src/loop/reset_on_close.h"
 
 namespace comfreystand::edge {
@@ -22,10 +21,7 @@
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 constexpr size_t kMaxReadBytes = size_t{64} << 10;
-
-HttpConnection* Self(htparser* parser) {
-  return static_cast<HttpConnection*>(htparser_get_userdata(parser));
-}
+constexpr size_t kLineEndBytes = 2;
 
 std::string FormatAddress(const sockaddr_in& address) {
   std::array<char, INET_ADDRSTRLEN> text{};
@@ -60,11 +56,7 @@
       address_(address),
       host_(FormatAddress(address)),
       timeouts_(timeouts),
-      delegate_(delegate),
-      parser_(htparser_new(), &std::free) {
-  htparser_init(parser_.get(), htp_type_response);
-  htparser_set_userdata(parser_.get(), this);
-}
+      delegate_(delegate) {}
 
 HttpConnection::~HttpConnection() {
   FreeSocket();
@@ -171,14 +163,12 @@
 }
 
 void HttpConnection::ResetAnswer() {
-  htparser_init(parser_.get(), htp_type_response);
-  htparser_set_userdata(parser_.get(), this);
+  lines_ = LineReader();
   head_ = AnswerHead();
   answer_begun_ = false;
   head_done_ = false;
   head_bytes_ = 0;
   keep_alive_ = true;
-  bad_framing_ = false;
   skipping_answer_ = false;
 }
 
@@ -268,24 +258,42 @@
 }
 
 bool HttpConnection::ReadHead(evbuffer* input) {
-  const std::string_view piece = FirstPiece(input);
+  std::string line;
+  const LineReader::Result result =
+      lines_.Next(input, limits::kMaxAnswerHeadBytes - head_bytes_, &line);
+  if (result == LineReader::Result::kIncomplete &&
+      (head_.status != 0 || MayBeginStatusLine(FirstPiece(input)))) {
+    return false;
+  }
+  head_bytes_ += line.size() + kLineEndBytes;
   parsing_ = true;
-  const size_t parsed = ParsePiece(parser_.get(), ParserHooks(), piece);
+  const bool valid = result == LineReader::Result::kLine && OnHeadLine(line);
   parsing_ = false;
-  head_bytes_ += parsed;
   if (close_after_parsing_) {
     Fail(ExchangeFailure::kClosed);
     return false;
   }
-  const bool malformed = !head_done_ && parsed < piece.size();
-  if (malformed || bad_framing_ || head_bytes_ > limits::kMaxAnswerHeadBytes) {
-    Fail(ExchangeFailure::kBroken);
+  if (!valid) {
+    Fail(ExchangeFailure::kMalformed);
     return false;
   }
-  evbuffer_drain(input, parsed);
   return head_done_ && body_.complete() ? OnAnswerEnd(input) : true;
 }
 
+bool HttpConnection::OnHeadLine(const std::string& line) {
+  if (head_.status == 0) {
+    StatusLine status_line;
+    const bool valid = ParseStatusLine(line, &status_line);
+    head_.status = status_line.status;
+    http11_ = status_line.http11;
+    return valid;
+  }
+  if (line.empty()) {
+    return OnHeadComplete();
+  }
+  return ParseFieldLine(line, &head_.headers.emplace_back());
+}
+
 bool HttpConnection::ReadBody(evbuffer* input) {
   std::array<char, kMaxJoinedBytes> space;
   const BodyPiece piece = body_.ReadJoined(FirstPiece(input), space);
@@ -307,7 +315,7 @@
     return false;
   }
   if (body_.malformed() || too_much_framing) {
-    Fail(ExchangeFailure::kBroken);
+    Fail(ExchangeFailure::kMalformed);
     return false;
   }
   if (skipping_answer_) {
@@ -340,30 +348,6 @@
   return false;
 }
 
-const htparse_hooks& HttpConnection::ParserHooks() {
-  static const htparse_hooks kHooks = [] {
-    htparse_hooks hooks = {};
-    hooks.hdr_key = [](htparser* parser, const char* data, size_t size) {
-      Self(parser)->head_.headers.push_back({std::string(data, size), {}});
-      return 0;
-    };
-    hooks.hdr_val = [](htparser* parser, const char* data, size_t size) {
-      HttpConnection* self = Self(parser);
-      if (!self->head_.headers.empty()) {
-        self->head_.headers.back().value += TrimSpace({data, size});
-      }
-      return 0;
-    };
-    hooks.on_hdrs_complete = [](htparser* parser) {
-      Self(parser)->OnHeadComplete();
-      // Stops the parser before the body.
-      return -1;
-    };
-    return hooks;
-  }();
-  return kHooks;
-}
-
 void HttpConnection::ReadKeepAliveTimeout() {
   constexpr std::string_view kTimeout = "timeout=";
   const std::string* value = head_.Find("Keep-Alive");
@@ -377,17 +361,15 @@
   keep_alive_timeout_ = std::chrono::seconds(seconds);
 }
 
-void HttpConnection::OnHeadComplete() {
-  head_.status = static_cast<int>(htparser_get_status(parser_.get()));
+bool HttpConnection::OnHeadComplete() {
   DeclaredBody declared;
   // No request sent here allows interim answers (1xx) or protocol upgrades.
   if (!ReadDeclaredBody(head_.headers, &declared) ||
       head_.status < kMinFinalStatus) {
-    bad_framing_ = true;
-    return;
+    return false;
   }
   head_done_ = true;
-  keep_alive_ = htparser_should_keep_alive(parser_.get()) != 0;
+  keep_alive_ = KeepsAlive(http11_, head_.headers);
   head_.content_length = declared.length;
   head_.no_body = head_request_ || head_.status == kNoContent ||
                   head_.status == kNotModified;
@@ -395,11 +377,11 @@
   if (!exchange_->IsMatchingAnswer(head_)) {
     skipping_answer_ = true;
     // Without a known length the start of the expected answer can't be found.
-    bad_framing_ = body_.end() == BodyEnd::kClose || !keep_alive_;
-    return;
+    return body_.end() != BodyEnd::kClose && keep_alive_;
   }
   ReadKeepAliveTimeout();
   exchange_->OnAnswerHead(std::move(head_));
+  return true;
 }
 
 void HttpConnection::StartBody(const DeclaredBody& declared) {
--- a/src/edge/http_connection.h
+++ b/src/edge/http_connection.h
@@ -1,7 +1,6 @@
 #ifndef COMFREYSTAND_SRC_EDGE_HTTP_CONNECTION_H_
 #define COMFREYSTAND_SRC_EDGE_HTTP_CONNECTION_H_
 
-#include <evhtp/parser.h>
 #include <netinet/in.h>
 
 #include <cstdint>
@@ -15,6 +14,7 @@
 #include "comfreystand/relay_protocol.h"
 #include "src/edge/body_reader.h"
 #include "src/edge/buffer_budget.h"
+#include "src/edge/message_lines.h"
 #include "src/loop/event_handles.h"
 
 namespace comfreystand::edge {
@@ -22,8 +22,11 @@
 // Why an exchange ended without a complete answer.
 enum class ExchangeFailure : uint8_t {
   kConnectFailed,
-  // The peer closed or reset the connection, or sent an invalid answer.
+  // The peer closed or reset the connection, or sent bytes that nothing asked
+  // for.
   kBroken,
+  // The peer sent bytes that are no HTTP/1.1 answer.
+  kMalformed,
   // No byte was read or written for the progress timeout.
   kProgressTimeout,
   // The connection was closed locally.
@@ -68,8 +71,7 @@
                         ExchangeFailure failure) = 0;
 };
 
-// One HTTP/1.1 client connection over libevent; answers are parsed with
-// libevhtp's parser. Carries one exchange at a time.
+// One HTTP/1.1 client connection over libevent. Carries one exchange at a time.
 class HttpConnection {
  public:
   struct Timeouts {
@@ -128,20 +130,21 @@
  private:
   enum class State : uint8_t { kNew, kConnecting, kOpen, kClosed };
 
-  static const htparse_hooks& ParserHooks();
   void OnReadable();
   void OnEvent(short events);
   void OnWritable();
   void OnOutputRemoved();
-  // Read the first contiguous piece of `input`. Return false when no further
-  // input may be read.
+  // Read the next line of a head, or the first contiguous piece of a body.
+  // Return false when no further input can be read.
   bool ReadHead(evbuffer* input);
   bool ReadBody(evbuffer* input);
+  // Return false when the answer is malformed.
+  bool OnHeadLine(const std::string& line);
+  bool OnHeadComplete();
   bool MaySkipMore();
   // The last byte of an answer has been removed from `input`.
   bool OnAnswerEnd(evbuffer* input);
   void ReadKeepAliveTimeout();
-  void OnHeadComplete();
   void StartBody(const DeclaredBody& declared);
   void FinishExchange();
   void Fail(ExchangeFailure failure);
@@ -158,11 +161,11 @@
   std::unique_ptr<BufferMeter> input_meter_;
   std::unique_ptr<BufferMeter> output_meter_;
   BufferCharge socket_charge_{nullptr};
-  std::unique_ptr<htparser, void (*)(void*)> parser_;
+  LineReader lines_;
   State state_ = State::kNew;
   Exchange* exchange_ = nullptr;
-  // The parser or a callback of the exchange is running; the connection must
-  // not be closed until it returns.
+  // A callback of the exchange is running; the connection must not be closed
+  // until it returns.
   bool parsing_ = false;
   // Fail() was called while `parsing_` was set.
   bool close_after_parsing_ = false;
@@ -173,9 +176,10 @@
   bool answer_begun_ = false;
   bool head_request_ = false;
   bool head_done_ = false;
+  // The answer being read is of HTTP/1.1, not HTTP/1.0.
+  bool http11_ = true;
   bool keep_alive_ = true;
   BodyReader body_;
-  bool bad_framing_ = false;
   // The answer being read belongs to an earlier request.
   bool skipping_answer_ = false;
   size_t head_bytes_ = 0;
--- a/src/edge/relay_protocol.cc
+++ b/src/edge/relay_protocol.cc
@@ -62,7 +62,8 @@
         "deadline_passed",  "ticket_missing",    "ticket_refused",
         "too_many_callers", "caller_timeout",    "caller_reset",
         "answer_truncated", "answer_too_large",  "answer_overdue",
-        "key_missing",      "key_unknown",       "key_revoked",
+        "answer_malformed", "key_missing",       "key_unknown",
+        "key_revoked",
 };
 
 bool HasControlBytes(std::string_view value) {
--- a/tests/edge_bad_input_test.cc
+++ b/tests/edge_bad_input_test.cc
@@ -101,6 +101,43 @@
   }
 }
 
+// Guards against a header whose value is joined with another line of its
+// request, such as the id under which it runs (UNASKED).
+TEST_CASE("a malformed line in the head of a request is refused") {
+  constexpr const char* kLines[] = {"Comfreystand-Class text",
+                                    ": text",
+                                    " text",
+                                    "\ttext",
+                                    "text",
+                                    "A : b",
+                                    "A\x01: b",
+                                    "A: b\x01",
+                                    "A: b\x7f",
+                                    "(A): b",
+                                    "A: b\nC: d",
+                                    "A: b\rC: d",
+                                    "A:\r\ntext",
+                                    " A: b"};
+  for (const std::string line : kLines) {
+    CheckRefused({line.c_str(),
+                  Request("GET", "/a", "X: 1\r\n" + line + "\r\n"), 400,
+                  Fault::kMalformed});
+  }
+  constexpr const char* kRequestLines[] = {"GET",
+                                           "GET /v1/lookup",
+                                           "GET /v1/look up HTTP/1.1",
+                                           "GET  /v1/lookup HTTP/1.1",
+                                           "GET /v1/lookup HTTP/1.1 ",
+                                           "GET /v1/lookup HTTP/2.0",
+                                           "GET /v1/lookup HTTP/1.12",
+                                           "GET /v1/lookup\x01 HTTP/1.1",
+                                           "G(T /v1/lookup HTTP/1.1",
+                                           " GET /v1/lookup HTTP/1.1"};
+  for (const std::string line : kRequestLines) {
+    CheckRefused({line.c_str(), line + "\r\n\r\n", 400, Fault::kMalformed});
+  }
+}
+
 TEST_CASE("the total size of headers is limited") {
   EdgeFixture fixture;
   std::string text = "GET /v1/lookup HTTP/1.1\r\n";
--- a/tests/faulty_answers_test.cc
+++ b/tests/faulty_answers_test.cc
@@ -162,5 +162,74 @@
   }
 }
 
+// Lines that no HTTP/1.1 answer has, after the stamp of an answer.
+constexpr const char* kMalformedLines[] = {"Content-Type text/plain",
+                                           ": text/plain",
+                                           " text/plain",
+                                           "\ttext/plain",
+                                           "text",
+                                           " A: b",
+                                           "A : b",
+                                           "A\x01: b",
+                                           "A: b\x01",
+                                           "A: b\x7f",
+                                           "A: b\nC: d",
+                                           "A: b\rC: d",
+                                           "(A): b",
+                                           "A\n",
+                                           "A:\r\ntext"};
+
+// Guards against a success with a stamp that no backend server gave, and
+// against control bytes that reach a caller (MIXED).
+TEST_CASE("an answer with a malformed header line is never delivered") {
+  const std::string body = "Content-Length: 2\r\n\r\nok";
+  for (const std::string line : kMalformedLines) {
+    CAPTURE(line);
+    GatewayFixture fixture(0);
+    ScriptedServer server(fixture.loop.base(), [&](size_t, const std::string&) {
+      return Answer(200, "r",
+                    "Comfreystand-Server-Stamp: s\r\n" + line + "\r\n" + body);
+    });
+    fixture.RegisterAt("i-0", server.address());
+    REQUIRE(fixture.WaitUntilBackendsReady(1));
+    const auto caller =
+        fixture.SendAndWait(GatewayRequest("POST", "/book/a", "r", "", "b"));
+    CHECK(caller->LastStatus() == 502);
+    CHECK_FALSE(caller->HasReceived("Server-Stamp"));
+    const edge::Stats stats = fixture.gateway->gateway().EdgeStats();
+    CHECK(stats.faults[static_cast<size_t>(edge::Fault::kAnswerMalformed)] ==
+          1);
+  }
+  // The value of a stamp that is empty is not taken from the next line.
+  GatewayFixture fixture(0);
+  ScriptedServer server(fixture.loop.base(), [&](size_t, const std::string&) {
+    return Answer(200, "r", "Comfreystand-Server-Stamp:\r\ntext\r\n" + body);
+  });
+  fixture.RegisterAt("i-0", server.address());
+  REQUIRE(fixture.WaitUntilBackendsReady(1));
+  CHECK(fixture.SendAndWait(GatewayRequest("POST", "/book/a", "r", "", "b"))
+            ->LastStatus() == 502);
+}
+
+// Guards against a request that fails although it may run twice and another
+// backend server is sound.
+TEST_CASE("a request behind a malformed answer is sent again where it may be") {
+  GatewayFixture fixture(1);
+  ScriptedServer server(
+      fixture.loop.base(), [&](size_t, const std::string& head) {
+        return IsHealthCheck(head)
+                   ? HealthyAnswer()
+                   : Answer(200, "r",
+                            "Comfreystand-Server-Stamp: s\r\nText\r\n"
+                            "Content-Length: 2\r\n\r\nok");
+      });
+  fixture.RegisterAt("i-1", server.address());
+  REQUIRE(fixture.WaitUntilBackendsReady(2));
+  for (int i = 0; i < 20; ++i) {
+    CHECK(fixture.SendAndWait(GatewayRequest("GET", "/look/a", "r"))
+              ->LastStatus() == 200);
+  }
+}
+
 }  // namespace
 }  // namespace comfreystand::platform
