--- a/src/edge/caller_connection.cc
+++ b/src/edge/caller_connection.cc
@@ -180,15 +180,21 @@
   return evbuffer_get_length(buffer);
 }
 
-// Only the newest pending reply may close the connection, since requests after
-// an earlier one may already have been passed to the delegate.
 bool CallerConnection::MayKeepAlive(Reply* reply) {
-  if (close_after_answers_ && replies_.back().get() == reply) {
-    reply->close_after = true;
+  if (close_after_answers_) {
+    CloseAfter(reply);
   }
   return !reply->close_after;
 }
 
+void CallerConnection::CloseAfter(Reply* reply) {
+  if (replies_.back().get() == reply) {
+    reply->close_after = true;
+  } else {
+    close_after_answers_ = true;
+  }
+}
+
 bool CallerConnection::CanReadRequest() const {
   return replies_.size() < kMaxPipelinedRequests &&
          (replies_.empty() || !replies_.back()->close_after);
--- a/src/edge/caller_connection.h
+++ b/src/edge/caller_connection.h
@@ -57,7 +57,7 @@
   // The answer was finished while an earlier reply was still pending
   // (head-of-line blocking).
   bool delayed_by_earlier_reply = false;
-  // The connection is closed after this answer.
+  // The connection is closed after this answer. Set for the newest reply only.
   bool close_after = false;
 };
 
@@ -122,8 +122,9 @@
   // Whether the connection may stay open after an answer that begins now. Marks
   // the reply as the last one when the connection is to be closed.
   bool MayKeepAlive(Reply* reply);
-  // Closes the connection after this answer.
-  void CloseAfter(Reply* reply) { reply->close_after = true; }
+  // Closes the connection after this answer, or after the last one while
+  // requests behind this one are pending: they may already be at work.
+  void CloseAfter(Reply* reply);
   // Resets the connection, so that the caller can't mistake a truncated answer
   // for a complete one.
   void Abort();
--- a/src/edge/relay.cc
+++ b/src/edge/relay.cc
@@ -69,12 +69,6 @@
   return all_not_run ? RunVerdict::kNotRun : RunVerdict::kMayHaveRun;
 }
 
-void Relay::CloseAfterAnswer() {
-  if (connection_) {
-    connection_->CloseAfter(reply_);
-  }
-}
-
 bool Relay::AbortIfCallerLeft() {
   return !connection_ || connection_->CloseIfCallerLeft();
 }
--- a/src/edge/relay.h
+++ b/src/edge/relay.h
@@ -79,8 +79,6 @@
   bool buffering() const { return buffering_timer_ != nullptr; }
   bool body_complete() const { return body_complete_; }
 
-  // Closes the caller's connection after the answer.
-  void CloseAfterAnswer();
   // Gives up the request if the caller has left, which this process may not
   // have read yet. Returns whether it has left.
   bool AbortIfCallerLeft();
--- a/src/edge/server_buffers.cc
+++ b/src/edge/server_buffers.cc
@@ -119,13 +119,12 @@
   overloaded.retry_after = std::chrono::seconds(1);
   Refusal refusal = protocol_->RefusalFor(overloaded);
   refusal.close = true;
-  // The connection is closed after the first answer; the other requests end
-  // with it.
-  Relay* relay = relays.front();
-  if (relays_by_handle_.contains(relay->handle())) {
-    dispatcher_->CancelRequest(clock_->Now(), relay->handle());
+  for (Relay* relay : relays) {
+    if (relays_by_handle_.contains(relay->handle())) {
+      dispatcher_->CancelRequest(clock_->Now(), relay->handle());
+    }
+    relay->Refuse(refusal);
   }
-  relay->Refuse(refusal);
   ScheduleActions();
 }
 
--- a/tests/edge_gate_test.cc
+++ b/tests/edge_gate_test.cc
@@ -109,6 +109,21 @@
     CHECK(gate.cancelled == 1);
     CHECK(fixture.server->IsIdle());
   }
+  SUBCASE("leaves alone what runs behind a request that a stop refuses") {
+    gate.answer.verdict = Gate::Verdict::kWaiting;
+    auto caller = fixture.OpenCaller(request);
+    CHECK(fixture.RunUntil([&] { return gate.waiting.size() == 1; }));
+    gate.answer = {};
+    caller->Send(Request("GET", "/y?work_ms=200"));
+    CHECK(fixture.RunUntil(
+        [&] { return fixture.backend(0).counts().started == 1; }));
+    fixture.server->SetDrainState(edge::DrainState::kRefusing);
+    CHECK(fixture.RunUntil(
+        [&] { return caller->AnswerCount() == 2 || caller->closed(); }));
+    CHECK(caller->received().starts_with("HTTP/1.1 503"));
+    CHECK(caller->LastStatus() == 200);
+    CHECK(fixture.RunUntil([&] { return caller->closed(); }));
+  }
 }
 
 }  // namespace comfreystand::testing
--- a/tests/edge_upload_test.cc
+++ b/tests/edge_upload_test.cc
@@ -67,5 +67,30 @@
   }
 }
 
+// Guards against requests that end without an answer because one ahead of them
+// on their connection is refused.
+TEST_CASE("a connection that is dropped to free memory") {
+  edge::ServerInit init = InitWithoutLoadPolling();
+  init.max_buffered_bytes = 150'000;
+  EdgeFixture fixture(1, init);
+  fixture.dispatcher.held = true;
+  const auto caller = fixture.SendUntilClosed(
+      Request("GET", "/a") +
+      Request("POST", "/b", "Content-Length: 400000\r\n") +
+      std::string(200'000, 'y'));
+  SUBCASE("has each of its requests refused") {
+    CHECK(caller->AnswerCount() == 2);
+    CHECK(caller->received().starts_with("HTTP/1.1 503"));
+    CHECK(caller->LastStatus() == 503);
+    CHECK(fixture.dispatcher.cancelled_requests == 2);
+    CHECK(fixture.server->IsIdle());
+  }
+  SUBCASE("is closed behind the last of them") {
+    const std::string& received = caller->received();
+    CHECK(received.find("Connection: close") > received.rfind("HTTP/1.1 "));
+    CHECK(caller->closed());
+  }
+}
+
 }  // namespace
 }  // namespace comfreystand::testing
--- a/tests/planned_stop_test.cc
+++ b/tests/planned_stop_test.cc
@@ -207,6 +207,29 @@
   CHECK(fixture.CountRuns("late") == 1);
 }
 
+// Guards against requests at work that are cut off because one ahead of them on
+// their connection is refused with Connection: close (LOST).
+TEST_CASE("a request behind one that a planned stop refuses is answered") {
+  Fixture fixture;
+  fixture.BeginStop(milliseconds(2'700));
+  // The first one fails, and isn't sent again so late.
+  const auto caller = fixture.OpenCaller(
+      GatewayRequest("GET", "/look/a?work_ms=200&head_cut=1", "first") +
+      GatewayRequest("GET", "/look/b?work_ms=800", "second"));
+  REQUIRE(fixture.WaitUntil(
+      [&] { return caller->AnswerCount() == 2 || caller->closed(); }));
+  CHECK(caller->received().starts_with("HTTP/1.1 502"));
+  CHECK(caller->AnswerCount() == 2);
+  CHECK(caller->LastStatus() == 200);
+  CHECK(fixture.CountRuns("second") == 1);
+  SUBCASE("and then the connection is closed") {
+    const std::string& received = caller->received();
+    CHECK(received.find("Connection: close") > received.rfind("HTTP/1.1 "));
+    CHECK(fixture.WaitUntil([&] { return caller->closed(); }));
+    CHECK_FALSE(caller->failed());
+  }
+}
+
 TEST_CASE("what a process that stops passes on") {
   const TimePoint requested = TimePoint(seconds(100));
   const StopSchedule schedule = {.refuse_from = requested + seconds(3),
