--- a/src/edge/attempt.cc
+++ b/src/edge/attempt.cc
@@ -100,6 +100,10 @@
 // Without a connection the attempt fails; with one, a cancellation timed out or
 // the time for an answer is over.
 void Attempt::OnTimer() {
+  if (connection_ && sink_ && !DeclaresEnd() && !max_body_bytes_) {
+    TakeRest();
+    return;
+  }
   if (connection_) {
     if (sink_) {
       delegate_->CountFault(Fault::kAnswerOverdue);
@@ -215,6 +219,11 @@
     connection_->Close();
     return;
   }
+  if (max_body_bytes_ && body_bytes_ > *max_body_bytes_) {
+    delegate_->CountFault(Fault::kAnswerOverdue);
+    connection_->Close();
+    return;
+  }
   evbuffer_add(buffered_body_.get(), data, size);
   if (sink_) {
     ForwardAnswer();
@@ -298,19 +307,27 @@
 }
 
 void Attempt::LimitAnswerTime(Duration time_left) {
-  SetTimer(std::max(time_left, Duration::zero()) + kOverdueAnswerTime);
+  const Duration rest = std::max(time_left, Duration::zero());
+  SetTimer(DeclaresEnd() ? rest + kOverdueAnswerTime : rest);
+}
+
+void Attempt::TakeRest() {
+  max_body_bytes_ = body_bytes_ + limits::kRelayBufferBytes;
+  connection_->ResumeReading();
+  SetTimer(kOverdueAnswerTime);
 }
 
 // While the caller reads slowly, the backend server can't send on.
 void Attempt::Pause() {
-  if (!connection_) {
+  if (!connection_ || max_body_bytes_) {
     return;
   }
   connection_->PauseReading();
   timeval now = {};
   timeval end = {};
   evutil_gettimeofday(&now, nullptr);
-  if (sink_ && event_pending(timer_.get(), EV_TIMEOUT, &end) != 0) {
+  if (sink_ && DeclaresEnd() &&
+      event_pending(timer_.get(), EV_TIMEOUT, &end) != 0) {
     event_del(timer_.get());
     paused_time_left_ = ToDuration(end) - ToDuration(now);
   }
--- a/src/edge/attempt.h
+++ b/src/edge/attempt.h
@@ -79,7 +79,8 @@
   void MeasureSocket();
 
   // Delivers the answer to `sink`, starting with its head. The rest of it may
-  // take `time_left` to arrive, not counting the time in which it is paused.
+  // take `time_left` to arrive. Time in which it is paused doesn't count if the
+  // answer declares its length; another one might have no end.
   void Deliver(AnswerSink* sink, Duration time_left);
   // Flow control of the answer: stop and resume reading it.
   void Pause();
@@ -116,6 +117,11 @@
   void ForwardAnswer();
   // Limits the time in which the rest of a delivered answer arrives.
   void LimitAnswerTime(Duration time_left);
+  bool DeclaresEnd() const {
+    return head_.no_body || head_.content_length >= 0;
+  }
+  // Reads on without regard to pauses, to learn whether the answer has an end.
+  void TakeRest();
 
   const Identity identity_;
   const AttemptInfo info_;
@@ -134,6 +140,9 @@
   // Set while the delivered answer is paused: time left for the rest of it.
   std::optional<Duration> paused_time_left_;
   uint64_t body_bytes_ = 0;
+  // Set once the rest of the answer is read without regard to pauses: bytes of
+  // the body after which it is given up.
+  std::optional<uint64_t> max_body_bytes_;
   AnswerInfo answer_;
   bool written_ = false;
   bool head_arrived_ = false;
--- a/tests/gateway_endless_answer_test.cc
+++ b/tests/gateway_endless_answer_test.cc
@@ -182,6 +182,48 @@
   }
 }
 
+// Guards against an answer that is passed on until its caller leaves (CONFIG).
+TEST_CASE(
+    "an answer without end to a caller that always reads a little too slowly") {
+  constexpr std::chrono::milliseconds kTimeLimit{1'000};
+  const std::string head(kOkHead);
+  std::string begin = head + "\r\n";
+  std::string block(8'192, 'x');
+  SUBCASE("ends with its route's time limit") {}
+  SUBCASE("ends with its route's time limit in chunks too") {
+    begin = head + "Transfer-Encoding: chunked\r\n\r\n";
+    block = Chunk(8'192);
+  }
+  GatewayFixture fixture(0);
+  EndlessServer server(fixture.loop.base(), begin, block);
+  server.SetHealthAnswer(
+      "HTTP/1.1 200 OK\r\nComfreystand-Instance-Id: i-0\r\n"
+      "Connection: close\r\nContent-Length: 0\r\n\r\n");
+  fixture.RegisterAt("i-0", server.address());
+  REQUIRE(fixture.WaitUntilBackendsReady(1));
+  const TimePoint sent_at = fixture.loop.Now();
+  const auto caller = fixture.OpenCaller(GatewayRequest(
+      "GET", "/book/x", "r1", "Comfreystand-Deadline-Ms: 60000\r\n"));
+  // Reads for a moment now and then.
+  const auto read_slowly = [&] {
+    caller->SetReading(false);
+    standins::RunUntil(&fixture.loop, std::chrono::milliseconds(50),
+                       [] { return false; });
+    caller->SetReading(true);
+    standins::RunUntil(&fixture.loop, std::chrono::milliseconds(1),
+                       [] { return false; });
+  };
+  while (!caller->closed() && fixture.loop.Now() - sent_at < 2 * kTimeLimit) {
+    read_slowly();
+  }
+  const Duration taken = fixture.loop.Now() - sent_at;
+  CHECK(taken >= kTimeLimit);
+  CHECK(taken < kTimeLimit + std::chrono::milliseconds(500));
+  CHECK(caller->failed());
+  CHECK_FALSE(caller->HasReceived("\r\n0\r\n"));
+  CHECK(fixture.WaitUntil([&] { return server.open_connections() == 0; }));
+}
+
 TEST_CASE("an answer is delivered late to a caller that reads slowly") {
   GatewayFixture fixture(1);
   REQUIRE(fixture.WaitUntilBackendsReady(1));
