Test that no malformed status line reaches a caller (MIXED)

The users saw an answer with the status 000 delivered on other systems.

The store's and other nodes' answers are read by libevent.

--- a/tests/edge_bad_input_test.cc
+++ b/tests/edge_bad_input_test.cc
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "tests/support/edge_fixture.h"
+#include "tests/support/scripted_server.h"
 
 namespace comfreystand::testing {
 namespace {
@@ -272,5 +273,26 @@
   CHECK(caller->HasReceived("Comfreystand-Verdict: not-run"));
 }
 
+// Guards against an answer of a backend server in trouble, such as one with the
+// status 000, that reaches a caller of `comfreystand node`.
+TEST_CASE("an answer with a malformed status line is not delivered") {
+  for (const std::string line :
+       {"HTTP/1.1 000 OK", "HTTP/1.1 600 OK", "HTTP/2.0 200 OK",
+        "HTTP/1.1 0200 OK", "HTTP/1.1 200 O\x01K"}) {
+    CAPTURE(line);
+    EdgeFixture fixture;
+    ScriptedServer server(fixture.base.get(), [&](size_t, const std::string&) {
+      return line + "\r\nContent-Length: 2\r\n\r\nok";
+    });
+    fixture.server->SetBackends({{.id = fixture.dispatcher.backends.front(),
+                                  .address = server.address(),
+                                  .name = {}}});
+    const auto caller = fixture.SendUntilClosed(
+        Request("POST", "/a", "Connection: close\r\n", "b"));
+    CHECK(caller->LastStatus() == 502);
+    CHECK(fixture.FaultCount(Fault::kAnswerMalformed) >= 1);
+  }
+}
+
 }  // namespace
 }  // namespace comfreystand::testing
--- a/tests/faulty_answers_test.cc
+++ b/tests/faulty_answers_test.cc
@@ -231,5 +231,56 @@
   }
 }
 
+// Status lines that HTTP/1.1 doesn't have.
+constexpr const char* kMalformedStatusLines[] = {
+    "HTTP/1.1 000 OK",  "HTTP/1.1 0 OK",
+    "HTTP/1.1 099 OK",  "HTTP/1.1 20 OK",
+    "HTTP/1.1 600 OK",  "HTTP/1.1 999 OK",
+    "HTTP/1.1 1000 OK", "HTTP/1.1 0200 OK",
+    "HTTP/1.1 2000 OK", "HTTP/1.1 -200 OK",
+    "HTTP/1.1 +200 OK", "HTTP/1.1 2OO OK",
+    "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK",
+    "HTTP/1.1 200OK",   "HTTP/1.1 OK",
+    "HTTP/1.1",         "HTTP/2.0 200 OK",
+    "HTTP/1.2 200 OK",  "HTTP/0.9 200 OK",
+    "HTTP/11 200 OK",   "XTTP/1.1 200 OK",
+    "http/1.1 200 OK",  "200 OK",
+    " HTTP/1.1 200 OK", "HTTP/1.1 200 O\x01K",
+    "HTTP/1.1 200 O\rK"};
+
+// Guards against an answer of a backend server in trouble, such as one with the
+// status 000, that reaches a caller (MIXED).
+TEST_CASE("an answer with a malformed status line") {
+  std::string first_line;
+  const auto answer = [&](size_t, const std::string& head) {
+    if (IsHealthCheck(head)) {
+      return first_line +
+             "\r\nComfreystand-Instance-Id: i-0\r\nConnection: close\r\n"
+             "Content-Length: 0\r\n\r\n";
+    }
+    return first_line +
+           "\r\nComfreystand-Request-Id: r\r\nComfreystand-Server-Stamp: s\r\n"
+           "Content-Length: 2\r\n\r\nok";
+  };
+  std::string request;
+  SUBCASE("is not delivered to a request that runs once") {
+    request = GatewayRequest("POST", "/book/a", "r", "", "b");
+  }
+  SUBCASE("is not delivered to a request that may run twice") {
+    request = GatewayRequest("GET", "/look/a", "r");
+  }
+  for (const char* line : kMalformedStatusLines) {
+    CAPTURE(std::string(line));
+    first_line = line;
+    GatewayFixture fixture(0);
+    ScriptedServer server(fixture.loop.base(), answer);
+    fixture.RegisterAt("i-0", server.address());
+    REQUIRE(fixture.WaitUntilBackendsReady(1));
+    const auto caller = fixture.SendAndWait(request);
+    CHECK(caller->LastStatus() == 502);
+    CHECK_FALSE(caller->HasReceived("Server-Stamp"));
+  }
+}
+
 }  // namespace
 }  // namespace comfreystand::platform
