Test that long header lines within headerBytes are passed on (DENIED)

Cause of the entry in KNOWN-RED.txt: libevhtp's parser keeps 8 KiB of a line, so that a header of 9,000 bytes or such a path got 431 though headerBytes is 16,384. The new case of gateway_path_test covers 9,000 and 16,000 bytes of a header, 9,000 of a path, and the refusal beyond the limit. The 431 itself was measured when the entry was written, not again.

--- a/tests/gateway_path_test.cc
+++ b/tests/gateway_path_test.cc
@@ -471,5 +471,30 @@
   CHECK(fixture.WaitUntil([&] { return stopped; }));
 }
 
+// Guards against requests within the configuration's `headerBytes` that are
+// refused with 431 (DENIED).
+TEST_CASE("a long line in the head of a request") {
+  GatewayFixture fixture(1);
+  REQUIRE(fixture.WaitUntilBackendsReady(1));
+  const auto status_of = [&](const std::string& path, size_t header_bytes) {
+    return fixture
+        .SendAndWait(GatewayRequest(
+            "GET", path, "r",
+            "X-Long: " + std::string(header_bytes, 'h') + "\r\n"))
+        ->LastStatus();
+  };
+  SUBCASE("is passed on up to the limit") {
+    CHECK(status_of("/look/a", 9'000) == 200);
+    CHECK(fixture.servers[0]->LastHeader("X-Long").size() == 9'000);
+    CHECK(status_of("/look/" + std::string(9'000, 'p'), 1) == 200);
+    CHECK(fixture.servers[0]->last_target().size() == 9'006);
+    CHECK(status_of("/look/a", 16'000) == 200);
+  }
+  SUBCASE("is refused beyond it") {
+    CHECK(status_of("/look/a", 16'384) == 431);
+    CHECK(status_of("/look/" + std::string(17'000, 'p'), 1) == 431);
+  }
+}
+
 }  // namespace
 }  // namespace comfreystand::platform
