--- a/src/edge/server_actions.cc
+++ b/src/edge/server_actions.cc
@@ -345,6 +345,8 @@
                                    RunVerdict verdict,
                                    RequestEnd end) {
   ++stats_.verdicts[static_cast<size_t>(verdict)];
+  // Whatever ended the request, nothing waits for it any more.
+  CancelAtGate(relay);
   ReturnAdmission(relay, verdict);
   RecordFinishedRequest(relay, end);
   relays_by_handle_.erase(relay->handle());
--- a/src/edge/server_listen.cc
+++ b/src/edge/server_listen.cc
@@ -157,7 +157,6 @@
     buffering.push_back(relay);
   }
   for (Relay* relay : buffering) {
-    CancelAtGate(relay);
     relay->Refuse(StopRefusal(RunVerdict::kNotRun));
   }
 }
--- a/tests/edge_gate_test.cc
+++ b/tests/edge_gate_test.cc
@@ -44,6 +44,7 @@
 edge::ServerInit InitWith(FakeGate* gate) {
   edge::ServerInit init = InitWithoutLoadPolling();
   init.gate = gate;
+  init.max_buffered_bytes = 150'000;
   return init;
 }
 
@@ -109,6 +110,18 @@
     CHECK(gate.cancelled == 1);
     CHECK(fixture.server->IsIdle());
   }
+  SUBCASE("forgets waiting requests of a connection that is dropped") {
+    gate.answer.verdict = Gate::Verdict::kWaiting;
+    auto caller = fixture.OpenCaller(
+        request + Request("POST", "/x", "Content-Length: 400000\r\n") +
+        std::string(200'000, 'y'));
+    CHECK(fixture.RunUntil([&] { return caller->closed(); }));
+    CHECK(caller->AnswerCount() == 2);
+    CHECK(caller->LastStatus() == 503);
+    CHECK(gate.cancelled == 2);
+    CHECK(gate.waiting.empty());
+    CHECK(fixture.server->IsIdle());
+  }
   SUBCASE("leaves alone what runs behind a request that a stop refuses") {
     gate.answer.verdict = Gate::Verdict::kWaiting;
     auto caller = fixture.OpenCaller(request);
