--- a/src/edge/caller_connection.cc
+++ b/src/edge/caller_connection.cc
@@ -173,6 +173,15 @@
                text.data(), text.size());
 }
 
+bool CallerConnection::Retract(Reply* reply) {
+  if (replies_.front().get() == reply) {
+    return false;
+  }
+  evbuffer_drain(reply->buffered.get(),
+                 evbuffer_get_length(reply->buffered.get()));
+  return true;
+}
+
 size_t CallerConnection::UnsentBytes(const Reply* reply) const {
   const bool is_front = !replies_.empty() && replies_.front().get() == reply;
   const evbuffer* buffer =
--- a/src/edge/caller_connection.h
+++ b/src/edge/caller_connection.h
@@ -117,6 +117,9 @@
   void Write(Reply* reply, std::string_view text);
   // Bytes of the answer that are still buffered.
   size_t UnsentBytes(const Reply* reply) const;
+  // Takes back what was written of the answer. Returns false when it can't be:
+  // it is this answer's turn, and some of it may have been sent.
+  bool Retract(Reply* reply);
   // Marks the answer as complete.
   void Finish(Reply* reply);
   // Whether the connection may stay open after an answer that begins now. Marks
--- a/src/edge/relay.cc
+++ b/src/edge/relay.cc
@@ -268,8 +268,17 @@
 
 void Relay::OnTruncated() {
   delivering_attempt_ = nullptr;
-  state_ = State::kFinished;
   delegate_->CountFault(Fault::kAnswerTruncated);
+  if (connection_ && connection_->Retract(reply_)) {
+    // The caller gets a failure in its place, and keeps its connection.
+    steer::Action failed;
+    failed.verdict = RunVerdict::kMayHaveRun;
+    failed.reason = steer::RejectReason::kAttemptFailed;
+    state_ = State::kPending;
+    Refuse(protocol_->RefusalFor(failed));
+    return;
+  }
+  state_ = State::kFinished;
   delegate_->OnRelayFinished(this, RunVerdict::kMayHaveRun,
                              RequestEnd::kTruncated);
   if (connection_) {
--- a/tests/faulty_answers_test.cc
+++ b/tests/faulty_answers_test.cc
@@ -162,6 +162,29 @@
   }
 }
 
+// Guards against requests at work at sound backend servers that get no answer
+// because one behind them on their connection breaks off (LOST).
+TEST_CASE("an answer that breaks off before its turn on a connection") {
+  GatewayFixture fixture(1);
+  REQUIRE(fixture.WaitUntilBackendsReady(1));
+  const auto caller = fixture.OpenCaller(
+      GatewayRequest("GET", "/look/a?work_ms=400", "r1") +
+      GatewayRequest("GET", "/look/b?bytes=200000&cut=100000", "r2") +
+      GatewayRequest("GET", "/look/c?work_ms=100", "r3"));
+  REQUIRE(fixture.WaitUntil(
+      [&] { return caller->AnswerCount() == 3 || caller->closed(); }));
+  SUBCASE("becomes a failure, and the others are answered") {
+    CHECK(caller->AnswerCount() == 3);
+    CHECK(caller->received().starts_with("HTTP/1.1 200"));
+    CHECK(caller->HasReceived("HTTP/1.1 502"));
+    CHECK(caller->LastStatus() == 200);
+    CHECK_FALSE(caller->failed());
+  }
+  SUBCASE("sends nothing of itself") {
+    CHECK(caller->received().size() < 2'000);
+  }
+}
+
 // Lines that no HTTP/1.1 answer has, after the stamp of an answer.
 constexpr const char* kMalformedLines[] = {"Content-Type text/plain",
                                            ": text/plain",
