Count the memory of request lines; name the limit of a late rest

Cause: a request's target, path and query are kept while its head arrives, and counted only once it is whole; max_body_bytes_ of an attempt read like max_answer_bytes_. Change: they are charged with the request line; the member is rest_limit_.

--- a/src/edge/attempt.cc
+++ b/src/edge/attempt.cc
@@ -100,7 +100,7 @@
 // Without a connection the attempt fails; with one, a cancellation timed out or
 // the time for an answer is over.
 void Attempt::OnTimer() {
-  if (connection_ && sink_ && !DeclaresEnd() && !max_body_bytes_) {
+  if (connection_ && sink_ && !DeclaresEnd() && !rest_limit_) {
     TakeRest();
     return;
   }
@@ -219,7 +219,7 @@
     connection_->Close();
     return;
   }
-  if (max_body_bytes_ && body_bytes_ > *max_body_bytes_) {
+  if (rest_limit_ && body_bytes_ > *rest_limit_) {
     delegate_->CountFault(Fault::kAnswerOverdue);
     connection_->Close();
     return;
@@ -312,14 +312,14 @@
 }
 
 void Attempt::TakeRest() {
-  max_body_bytes_ = body_bytes_ + limits::kRelayBufferBytes;
+  rest_limit_ = body_bytes_ + limits::kRelayBufferBytes;
   connection_->ResumeReading();
   SetTimer(kOverdueAnswerTime);
 }
 
 // While the caller reads slowly, the backend server can't send on.
 void Attempt::Pause() {
-  if (!connection_ || max_body_bytes_) {
+  if (!connection_ || rest_limit_) {
     return;
   }
   connection_->PauseReading();
--- a/src/edge/attempt.h
+++ b/src/edge/attempt.h
@@ -140,9 +140,9 @@
   // Set while the delivered answer is paused: time left for the rest of it.
   std::optional<Duration> paused_time_left_;
   uint64_t body_bytes_ = 0;
-  // Set once the rest of the answer is read without regard to pauses: bytes of
-  // the body after which it is given up.
-  std::optional<uint64_t> max_body_bytes_;
+  // Set once the rest of the answer is read without regard to pauses: size of
+  // the body beyond which the answer is given up.
+  std::optional<uint64_t> rest_limit_;
   AnswerInfo answer_;
   bool written_ = false;
   bool head_arrived_ = false;
--- a/src/edge/caller_connection_parse.cc
+++ b/src/edge/caller_connection_parse.cc
@@ -98,6 +98,8 @@
   head.has_query = query != std::string::npos;
   head.path = head.target.substr(0, query);
   head.query = head.has_query ? head.target.substr(query + 1) : "";
+  BufferCharge& charge = incoming_reply_->head_charge;
+  charge.Set(charge.bytes() + 2 * head.target.size());
   return true;
 }
 
