--- a/review/harness-3/silence_case.cc
+++ b/review/harness-3/silence_case.cc
@@ -5,7 +5,7 @@
 namespace review {
 namespace {
 
-constexpr int kRequestsOfEachKind = 6;
+constexpr size_t kRequestsOfEachKind = 6;
 // One of them is slow.
 constexpr int kInstances = 3;
 constexpr int kDeadlineMs = 30'000;
--- a/review/harness-3/standins.h
+++ b/review/harness-3/standins.h
@@ -51,7 +51,9 @@
   // Listens at a free port, or at the one used before. Returns false when it
   // can't.
   bool Start() {
-    const auto [fd, port] = Listen(host_, port_);
+    const std::pair<int, int> listener = Listen(host_, port_);
+    const int fd = listener.first;
+    const int port = listener.second;
     if (fd < 0) {
       return false;
     }
